Add the workspace, its core package and the test runner

Cause: every later part needs the same error codes, findings, INI reading, logs, metrics and hashing, and one verdict for all tests. Conclusion: the request path can be built on this.

--- /dev/null
+++ b/packages/apricotlift-control/src/apricotlift/control/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/apricotlift-core/src/apricotlift/core/__init__.py
@@ -0,0 +1,16 @@
+"""Error codes, findings, INI reading, JSON logs, metrics and hashing."""
+
+from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.core.findings import Finding, Findings, Place
+from apricotlift.core.metrics import Metrics
+
+__all__ = [
+    "ApricotliftError",
+    "Code",
+    "Finding",
+    "Findings",
+    "Metrics",
+    "Place",
+    "Ran",
+    "Scope",
+]
--- /dev/null
+++ b/packages/apricotlift-core/src/apricotlift/core/inifile.py
@@ -0,0 +1,153 @@
+"""Reads INI files and checks their sections.
+
+:mod:`configparser` does not say on which line a key stands, so the file is
+scanned a second time for the places that findings name.
+"""
+
+import configparser
+import difflib
+import re
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TypeVar
+
+from apricotlift.core.findings import Findings, Place
+from pydantic import BaseModel, ValidationError
+
+_SECTION_LINE = re.compile(r"^\[(?P<name>[^\]]+)\]")
+_KEY_LINE = re.compile(r"^(?P<key>[^\s#;=:\[][^=:]*?)\s*[=:]")
+
+ModelT = TypeVar("ModelT", bound=BaseModel)
+
+
+@dataclass(frozen=True)
+class IniSection:
+    """One section of an INI file.
+
+    :param name: the text in brackets, for example ``account atlas``.
+    :param values: raw text by key.
+    :param lines: line number by key; the empty key is the section's own line.
+    """
+
+    file: str
+    name: str
+    values: dict[str, str]
+    lines: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def kind(self) -> str:
+        """The first word of the name."""
+        return self.name.split(None, 1)[0]
+
+    @property
+    def title(self) -> str:
+        """The name without its first word."""
+        return self.name.partition(" ")[2].strip()
+
+    def get_place(self, key: str = "") -> Place:
+        """Return the place of a key, or of the section."""
+        line = self.lines.get(key, self.lines.get("", 0))
+        return Place(self.file, line, self.name, key)
+
+
+def read_ini(path: str | Path, findings: Findings) -> list[IniSection]:
+    """Read the sections of an INI file in their order.
+
+    :param path: the file.
+    :param findings: receives what can't be read.
+    :returns: the sections; empty when the file can't be read at all.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        findings.add(Place(file), "unreadable", f"can't be read: {error.strerror}")
+        return []
+    except UnicodeDecodeError as error:
+        findings.add(Place(file), "not_utf8", f"invalid UTF-8 at byte {error.start}")
+        return []
+    return parse_ini(text, file, findings)
+
+
+def parse_ini(text: str, file: str, findings: Findings) -> list[IniSection]:
+    """Parse the text of an INI file.
+
+    >>> section, = parse_ini("[node]\\nname = a\\n", "node.ini", Findings())
+    >>> section.values, section.get_place("name").line
+    ({'name': 'a'}, 2)
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="\0")
+    parser.optionxform = str
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        line = getattr(error, "lineno", None) or 0
+        if not line and getattr(error, "errors", None):
+            line = error.errors[0][0]
+        message = error.message.replace("\n", " ")
+        findings.add(Place(file, line), "bad_syntax", message)
+        return []
+    lines = _find_lines(text)
+    return [
+        IniSection(file, name, dict(parser[name]), lines.get(name, {}))
+        for name in parser.sections()
+    ]
+
+
+def build_section(
+    model: type[ModelT],
+    section: IniSection,
+    findings: Findings,
+    extra: dict[str, str] | None = None,
+) -> ModelT | None:
+    """Validate a section with a pydantic model.
+
+    :param model: the model; every field is a known key.
+    :param section: the section.
+    :param findings: receives unknown keys with the nearest known name and each
+        value that the model refuses.
+    :param extra: values that stand elsewhere, such as the section's title.
+    :returns: the model, or ``None`` when there was a finding.
+    """
+    known = list(model.model_fields)
+    n_before = len(findings.items)
+    for key in section.values:
+        if key not in known:
+            nearest = difflib.get_close_matches(key, known, n=1)
+            hint = f"; did you mean {nearest[0]!r}?" if nearest else ""
+            message = f"unknown key {key!r}{hint}"
+            findings.add(section.get_place(key), "unknown_key", message)
+    values = {key: text for key, text in section.values.items() if key in known}
+    values.update(extra or {})
+    try:
+        built = model.model_validate(values)
+    except ValidationError as error:
+        for item in error.errors():
+            key = str(item["loc"][0]) if item["loc"] else ""
+            given = "" if item["type"] == "missing" else f", got {item['input']!r}"
+            message = f"{item['msg']}{given}"
+            findings.add(section.get_place(key), item["type"], message)
+        return None
+    return built if len(findings.items) == n_before else None
+
+
+def split_list(value: object) -> object:
+    """Split comma-separated text; meant for pydantic's ``BeforeValidator``.
+
+    >>> split_list("a, b,")
+    ['a', 'b']
+    """
+    if not isinstance(value, str):
+        return value
+    return [part.strip() for part in value.split(",") if part.strip()]
+
+
+def _find_lines(text: str) -> dict[str, dict[str, int]]:
+    lines: dict[str, dict[str, int]] = {}
+    current: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        if match := _SECTION_LINE.match(line):
+            current = lines.setdefault(match["name"], {"": number})
+        elif match := _KEY_LINE.match(line):
+            current.setdefault(match["key"], number)
+    return lines
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/__init__.py
@@ -0,0 +1,3 @@
+"""The node process."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/apricotlift-policy/src/apricotlift/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Routing, retention, admission and retry decisions."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/apricotlift-wire/src/apricotlift/wire/__init__.py
@@ -0,0 +1,3 @@
+"""The inner protocol between nodes: websockets with CBOR."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,182 @@
+"""Runs the checks and adds up one verdict.
+
+Each package's ``tests`` folder and the root ``features`` folder is one behave run
+in a process of its own, because behave keeps one registry of steps a process.
+Scenarios that ``KNOWN-RED.txt`` names are run and printed, but don't decide.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+RUN_TIMEOUT_S = 1500
+N_PARALLEL_RUNS = 4
+
+
+@dataclass
+class Outcome:
+    """What one run found."""
+
+    name: str
+    n_passed: int = 0
+    failures: list[str] = field(default_factory=list)
+    output: str = ""
+
+
+def main() -> int:
+    """Run everything that the arguments select, all by default."""
+    wanted = sys.argv[1:]
+    environment = build_environment()
+    outcomes = []
+    if not wanted:
+        outcomes.append(run_command("format", ["ruff", "format", "--check", "."]))
+        outcomes.append(run_command("lint", ["ruff", "check", "."]))
+        outcomes.append(run_doctests(environment))
+    folders = [Path(name) for name in wanted] or find_feature_folders()
+    # The scenarios start many processes, so they run after the packages' tests.
+    package_folders = [folder for folder in folders if "packages" in folder.parts]
+    with ThreadPoolExecutor(N_PARALLEL_RUNS) as pool:
+        runs = pool.map(lambda folder: run_behave(folder, environment), package_folders)
+        outcomes += runs
+    for folder in folders:
+        if folder not in package_folders:
+            outcomes.append(run_behave(folder, environment))
+    return report(outcomes, read_known_red())
+
+
+def build_environment() -> dict[str, str]:
+    """Put this checkout's packages before installed ones."""
+    sources = [str(path) for path in sorted(ROOT.glob("packages/*/src"))]
+    environment = dict(os.environ)
+    environment["PYTHONPATH"] = os.pathsep.join([*sources, str(ROOT)])
+    environment["PYTHONDONTWRITEBYTECODE"] = "1"
+    return environment
+
+
+def find_feature_folders() -> list[Path]:
+    """Return each folder that holds feature files and steps."""
+    folders = sorted(ROOT.glob("packages/*/src/apricotlift/*/tests"))
+    folders.append(ROOT / "features")
+    return [folder for folder in folders if any(folder.rglob("*.feature"))]
+
+
+def run_command(name: str, command: list[str]) -> Outcome:
+    """Run a tool of the environment; its exit code decides."""
+    executable = str(Path(sys.executable).parent / command[0])
+    process = subprocess.run(
+        [executable, *command[1:]], cwd=ROOT, capture_output=True, text=True
+    )
+    outcome = Outcome(name, output=process.stdout + process.stderr)
+    if process.returncode:
+        outcome.failures.append(name)
+    else:
+        outcome.n_passed = 1
+    return outcome
+
+
+def run_doctests(environment: dict[str, str]) -> Outcome:
+    """Run the examples of each module of the packages."""
+    outcome = Outcome("doctests")
+    for path in sorted(ROOT.glob("packages/*/src/apricotlift/**/*.py")):
+        if "tests" in path.parts or ">>> " not in path.read_text():
+            continue
+        process = subprocess.run(
+            [sys.executable, "-m", "doctest", str(path)],
+            cwd=tempfile.gettempdir(),
+            env=environment,
+            capture_output=True,
+            text=True,
+        )
+        if process.returncode:
+            outcome.failures.append(f"doctest {path.relative_to(ROOT)}")
+            outcome.output += process.stdout + process.stderr
+        else:
+            outcome.n_passed += 1
+    return outcome
+
+
+def run_behave(folder: Path, environment: dict[str, str]) -> Outcome:
+    """Run one behave folder and read its JSON report."""
+    folder = folder.resolve()
+    outcome = Outcome(str(folder.relative_to(ROOT)))
+    with tempfile.TemporaryDirectory() as directory:
+        report_file = Path(directory) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-color", str(folder)]
+        command += ["-f", "json", "-o", str(report_file), "-f", "progress"]
+        try:
+            process = subprocess.run(
+                command,
+                cwd=ROOT,
+                env=environment,
+                capture_output=True,
+                text=True,
+                timeout=RUN_TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired as error:
+            outcome.failures.append(f"{outcome.name}: timed out")
+            outcome.output = str(error)
+            return outcome
+        outcome.output = process.stdout + process.stderr
+        try:
+            features = json.loads(report_file.read_text())
+        except (OSError, ValueError):
+            outcome.failures.append(f"{outcome.name}: no report")
+            return outcome
+    for feature in features:
+        read_feature(feature, outcome)
+    if process.returncode and not outcome.failures:
+        outcome.failures.append(f"{outcome.name}: exit code {process.returncode}")
+    return outcome
+
+
+def read_feature(feature: dict, outcome: Outcome) -> None:
+    """Add up a feature's scenarios; only the status ``passed`` counts as a pass."""
+    for element in feature.get("elements", []):
+        if element["type"] == "background":
+            continue
+        if element.get("status") == "passed":
+            outcome.n_passed += 1
+        else:
+            name = f"{element['location']} {element['name']}"
+            outcome.failures.append(name)
+
+
+def read_known_red() -> list[str]:
+    """Return the scenario names that ``KNOWN-RED.txt`` lists as ``test: NAME``."""
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines()
+    return [line[len("test:") :].strip() for line in lines if line.startswith("test:")]
+
+
+def report(outcomes: list[Outcome], known_red: list[str]) -> int:
+    """Print the results and return the exit code."""
+    n_passed = 0
+    failures: list[str] = []
+    for outcome in outcomes:
+        print(
+            f"{outcome.name}: {outcome.n_passed} passed, {len(outcome.failures)} failed"
+        )
+        n_passed += outcome.n_passed
+        if outcome.failures:
+            print(outcome.output)
+        for failure in outcome.failures:
+            if any(name and failure.endswith(name) for name in known_red):
+                print(f"KNOWN RED: {failure}")
+            else:
+                failures.append(failure)
+    for failure in failures:
+        print(f"FAILED: {failure}")
+    print(f"{n_passed} passed, {len(failures)} failed")
+    return 1 if failures or not n_passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
