--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/__init__.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/__init__.py
@@ -1,3 +1,13 @@
 """Clients of model engines, plain services and KV stores."""
 
-__all__: list[str] = []
+from apricotlift.upstreams.engine import EngineClient, GenerateCall, TextChunk
+from apricotlift.upstreams.pool import Pool, Response, Timeouts
+
+__all__ = [
+    "EngineClient",
+    "GenerateCall",
+    "Pool",
+    "Response",
+    "TextChunk",
+    "Timeouts",
+]
--- /dev/null
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
@@ -0,0 +1,224 @@
+"""HTTP/1.1 connections to upstreams, KV stores and the platform.
+
+Failures of the transport become :class:`ApricotliftError` with ``ran`` set from
+how far the request got: a connection that could not be opened carried nothing, so
+the work certainly did not run.
+"""
+
+import ssl
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+
+import httpcore
+from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+
+MAX_CONNECTIONS = 1000
+KEEPALIVE_S = 15.0
+
+
+@dataclass(frozen=True)
+class Timeouts:
+    """Limits in seconds.
+
+    :param connect_s: to open the connection, TLS included.
+    :param read_s: between two pieces of the response.
+    :param write_s: between two pieces of the request.
+    """
+
+    connect_s: float = 1.0
+    read_s: float = 30.0
+    write_s: float = 10.0
+
+
+@dataclass(frozen=True)
+class Response:
+    """A response whose body has been read."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ResponseStream:
+    """A response whose body arrives in pieces."""
+
+    def __init__(self, raw: httpcore.Response):
+        self._raw = raw
+        self.status = raw.status
+        self.headers = _decode_headers(raw.headers)
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the pieces of the body.
+
+        :raises ApricotliftError: ``stream_broken`` or ``upstream_timeout``.
+        """
+        try:
+            async for chunk in self._raw.aiter_stream():
+                yield chunk
+        except _TRANSPORT_ERRORS as error:
+            raise _translate(error) from error
+
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises ApricotliftError: ``upstream_protocol`` over ``max_bytes``.
+        """
+        chunks = []
+        n_bytes = 0
+        async for chunk in self.iterate():
+            n_bytes += len(chunk)
+            if n_bytes > max_bytes:
+                message = f"response body exceeds {max_bytes} bytes"
+                raise ApricotliftError(
+                    Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+
+class Pool:
+    """Connections to any number of addresses.
+
+    :param ssl_context: checks servers' certificates on ``https`` URLs.
+    """
+
+    def __init__(self, ssl_context: ssl.SSLContext | None = None):
+        self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=ssl_context,
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+            keepalive_expiry=KEEPALIVE_S,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+        self._ssl_context = ssl_context
+
+    async def __aenter__(self) -> "Pool":
+        await self._pool.__aenter__()
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._pool.__aexit__(*details)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeouts: Timeouts | None = None,
+        fresh: bool = False,
+    ) -> AsyncIterator[ResponseStream]:
+        """Send a request and yield the response when its headers are there.
+
+        :param fresh: use a new connection. A kept connection that the server
+            closes while the request is on its way leaves it unclear whether the
+            request ran, which a non-repeatable call must avoid.
+        """
+        timeouts = timeouts or Timeouts()
+        request_headers = {"host": _get_host(url), **(headers or {})}
+        if body or method in ("POST", "PUT", "PATCH"):
+            request_headers["content-length"] = str(len(body))
+        if fresh:
+            request_headers["connection"] = "close"
+        encoded = [
+            (key.encode("latin-1"), value.encode("latin-1"))
+            for key, value in request_headers.items()
+        ]
+        extensions = {
+            "timeout": {
+                "connect": timeouts.connect_s,
+                "read": timeouts.read_s,
+                "write": timeouts.write_s,
+                "pool": timeouts.connect_s,
+            }
+        }
+        request = httpcore.Request(
+            method, url, headers=encoded, content=body, extensions=extensions
+        )
+        if fresh:
+            async with self._open_fresh(url) as connection:
+                raw = await _send(connection, request)
+                try:
+                    yield ResponseStream(raw)
+                finally:
+                    await _close(raw)
+            return
+        raw = await _send(self._pool, request)
+        try:
+            yield ResponseStream(raw)
+        finally:
+            await _close(raw)
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeouts: Timeouts | None = None,
+        max_bytes: int = 4_194_304,
+        fresh: bool = False,
+    ) -> Response:
+        """Send a request and return the response with its whole body."""
+        async with self.stream(method, url, headers, body, timeouts, fresh) as answer:
+            content = await answer.read(max_bytes)
+            return Response(answer.status, answer.headers, content)
+
+    @asynccontextmanager
+    async def _open_fresh(
+        self, url: str
+    ) -> AsyncIterator[httpcore.AsyncConnectionPool]:
+        pool = httpcore.AsyncConnectionPool(
+            ssl_context=self._ssl_context,
+            max_connections=1,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+        async with pool:
+            yield pool
+
+
+_TRANSPORT_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+async def _send(
+    pool: httpcore.AsyncConnectionPool, request: httpcore.Request
+) -> httpcore.Response:
+    try:
+        return await pool.handle_async_request(request)
+    except _TRANSPORT_ERRORS as error:
+        raise _translate(error) from error
+
+
+async def _close(raw: httpcore.Response) -> None:
+    with suppress(*_TRANSPORT_ERRORS):
+        await raw.aclose()
+
+
+def _translate(error: Exception) -> ApricotliftError:
+    name = type(error).__name__
+    text = f"{name}: {error}" if str(error) else name
+    if isinstance(error, httpcore.ConnectError | httpcore.ConnectTimeout):
+        return ApricotliftError(Code.UPSTREAM_CONNECT, text, Ran.NO, Scope.UPSTREAM)
+    if isinstance(error, httpcore.PoolTimeout):
+        return ApricotliftError(Code.UPSTREAM_FULL, text, Ran.NO, Scope.UPSTREAM)
+    if isinstance(error, httpcore.LocalProtocolError):
+        return ApricotliftError(Code.BAD_REQUEST, text, Ran.NO)
+    if isinstance(error, httpcore.TimeoutException):
+        return ApricotliftError(Code.UPSTREAM_TIMEOUT, text, Ran.MAYBE, Scope.UPSTREAM)
+    return ApricotliftError(Code.STREAM_BROKEN, text, Ran.MAYBE, Scope.UPSTREAM)
+
+
+def _decode_headers(raw: list[tuple[bytes, bytes]]) -> dict[str, str]:
+    return {
+        key.decode("latin-1").lower(): value.decode("latin-1") for key, value in raw
+    }
+
+
+def _get_host(url: str) -> str:
+    return url.split("://", 1)[1].split("/", 1)[0]
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,122 @@
+"""Starts and stops the processes of a test, and reads their log lines."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+_POLL_S = 0.01
+
+
+@dataclass
+class Process:
+    """A running process and its log file."""
+
+    name: str
+    popen: subprocess.Popen
+    log_file: Path
+
+    def read_log(self) -> list[dict]:
+        """Return the JSON log lines written so far."""
+        lines = []
+        for line in self.log_file.read_text(errors="replace").splitlines():
+            try:
+                lines.append(json.loads(line))
+            except ValueError:
+                continue
+        return lines
+
+    def wait_for_event(self, event: str, timeout_s: float = 30.0, **wanted) -> dict:
+        """Wait for a log line with these fields and return it."""
+        deadline = time.monotonic() + timeout_s
+        while True:
+            for line in self.read_log():
+                if line.get("event") == event and wanted.items() <= line.items():
+                    return line
+            exited = self.popen.poll() is not None
+            if exited or time.monotonic() > deadline:
+                tail = self.log_file.read_text(errors="replace")[-3000:]
+                state = f"exited {self.popen.returncode}" if exited else "timed out"
+                raise AssertionError(f"{self.name}: no {event} ({state}): {tail}")
+            time.sleep(_POLL_S)
+
+    def get_address(self, listener: str = "") -> str:
+        """Return the address of a listener from its ``listening`` line."""
+        wanted = {"listener": listener} if listener else {}
+        return self.wait_for_event("listening", START_TIMEOUT_S, **wanted)["address"]
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process without warning."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code."""
+        return self.popen.wait(timeout_s)
+
+
+@dataclass
+class Processes:
+    """All processes of one test; leaving the context ends them."""
+
+    directory: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix="apricotlift-"))
+    )
+    running: dict[str, Process] = field(default_factory=dict)
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(self, *details) -> None:
+        self.stop_all()
+
+    def start_module(self, name: str, module: str, *arguments: str) -> Process:
+        """Start ``python -m module`` under a name."""
+        environment = dict(os.environ)
+        sources = [str(path) for path in sorted(ROOT.glob("packages/*/src"))]
+        environment["PYTHONPATH"] = os.pathsep.join([*sources, str(ROOT)])
+        log_file = self.directory / f"{name}.{len(self.running)}.log"
+        with log_file.open("wb") as output:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        process = Process(name, popen, log_file)
+        key = name if name not in self.running else f"{name}.{len(self.running)}"
+        self.running[key] = process
+        return process
+
+    def write_file(self, name: str, text: str) -> Path:
+        """Write a file into the test's folder."""
+        path = self.directory / name
+        path.write_text(text)
+        return path
+
+    def stop_all(self) -> None:
+        """End all processes; stopped ones are continued first."""
+        for process in self.running.values():
+            if process.popen.poll() is None:
+                process.popen.send_signal(signal.SIGCONT)
+                process.popen.terminate()
+        deadline = time.monotonic() + 2.0
+        for process in self.running.values():
+            try:
+                process.popen.wait(max(0.05, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
