--- a/packages/apricotlift-core/src/apricotlift/core/inifile.py
+++ b/packages/apricotlift-core/src/apricotlift/core/inifile.py
@@ -37,12 +37,12 @@
     @property
     def kind(self) -> str:
         """The first word of the name."""
-        return self.name.split(None, 1)[0]
+        return (self.name.split(None, 1) or [""])[0]
 
     @property
     def title(self) -> str:
         """The name without its first word."""
-        return self.name.partition(" ")[2].strip()
+        return " ".join(self.name.split()[1:])
 
     def get_place(self, key: str = "") -> Place:
         """Return the place of a key, or of the section."""
--- a/packages/apricotlift-state/src/apricotlift/state/sections.py
+++ b/packages/apricotlift-state/src/apricotlift/state/sections.py
@@ -1,13 +1,17 @@
 """Validated models of the sections in declaration files."""
 
 import ipaddress
+import re
 from typing import Annotated, Literal
 
 from apricotlift.core.findings import Findings
 from apricotlift.core.inifile import IniSection, split_list
 from pydantic import BaseModel, BeforeValidator, Field
 
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+_NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+_PORT = re.compile(r"[0-9]{1,5}")
+
+Name = Annotated[str, Field(pattern=_NAME)]
 Names = Annotated[tuple[Name, ...], BeforeValidator(split_list)]
 Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
@@ -135,12 +139,23 @@
 }
 
 
+def check_name(text: str) -> bool:
+    """Return whether a text is a valid name of a section or a version.
+
+    >>> check_name("2026-11"), check_name("a b")
+    (True, False)
+    """
+    return re.fullmatch(_NAME, text) is not None
+
+
 def check_address(address: str, section: IniSection, findings: Findings) -> None:
     """Add a finding unless the address is an IP number and a port."""
     host, _, port = address.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
     try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) < 65536
+        ipaddress.ip_address(host)
+        valid = _PORT.fullmatch(port) is not None and 0 < int(port) < 65536
     except ValueError:
         valid = False
     if not valid:
