Serve one prompt end to end through separate processes

Cause: nothing ran yet; every further part widens this path. Change: the node binary with settings, callers' and admin listeners, key check, streams that are resumed by offset, attempts that continue on another engine, JSON logs and metrics; a demo; a behave feature with real processes. Before: no path. After: 8 of 8 scenarios pass, among them an engine killed in mid-answer, broken streams, events of another attempt and a resumed stream. Conclusion: the thin path holds; choice of engine is least-in-flight only, and nodes don't know one another yet.

--- a/packages/apricotlift-node/src/apricotlift/node/__init__.py
+++ b/packages/apricotlift-node/src/apricotlift/node/__init__.py
@@ -1,3 +1,5 @@
 """The node process."""
 
-__all__: list[str] = []
+from apricotlift.node.settings import NodeSettings, load_settings
+
+__all__ = ["NodeSettings", "load_settings"]
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/server.py
@@ -0,0 +1,191 @@
+"""The HTTP listeners: routing, refusals and the open-request count."""
+
+import socket
+import ssl
+from contextlib import nullcontext
+from urllib.parse import unquote
+
+import uvicorn
+from apricotlift.core import logs
+from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.node import prompts
+from apricotlift.node.border import (
+    HttpRequest,
+    Send,
+    read_headers,
+    send_error,
+    send_json,
+    send_start,
+)
+from apricotlift.node.runtime import Node
+from apricotlift.node.snapshot import Identity, authenticate
+
+_BACKLOG = 2048
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the node."""
+
+    def capture_signals(self):
+        """Install no signal handlers."""
+        return nullcontext()
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket; port 0 lets the system choose."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host.strip("[]"), int(port)))
+    listener.listen(_BACKLOG)
+    return listener
+
+
+def get_bound_address(listener: socket.socket) -> str:
+    """Return ``IP:PORT`` of a listening socket."""
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def build_server(app, context: ssl.SSLContext | None, max_header_bytes: int) -> Server:
+    """Return a server for an ASGI app."""
+    config = uvicorn.Config(
+        app,
+        log_config=None,
+        log_level="critical",
+        access_log=False,
+        lifespan="off",
+        server_header=False,
+        date_header=False,
+        http="h11",
+        ws="none",
+        timeout_keep_alive=75,
+        h11_max_incomplete_event_size=2 * max_header_bytes,
+    )
+    config.load()
+    if context is not None:
+        config.ssl = context
+    return Server(config)
+
+
+def build_callers_app(node: Node):
+    """Return the ASGI app of the callers' listener."""
+
+    async def app(scope, receive, send) -> None:
+        if scope["type"] != "http":
+            return
+        started = False
+
+        async def send_tracked(message: dict) -> None:
+            nonlocal started
+            started = True
+            await send(message)
+
+        node.n_open_requests += 1
+        request_id = None
+        try:
+            headers = read_headers(scope, node.settings.border)
+            request_id = headers.get("x-request-id")
+            request = HttpRequest(
+                scope["method"],
+                scope["path"],
+                scope["query_string"].decode("latin-1"),
+                headers,
+                receive,
+            )
+            await _route(node, request, send_tracked)
+        except ApricotliftError as error:
+            _count_refusal(node, error, request_id)
+            if not started:
+                await send_error(send, error, request_id)
+        except Exception:
+            logs.log_exception("request_failed", request_id=request_id)
+            node.metrics.count("refusals_total", code=Code.INTERNAL)
+            if not started:
+                error = ApricotliftError(Code.INTERNAL, "internal error", Ran.MAYBE)
+                await send_error(send, error, request_id)
+        finally:
+            node.n_open_requests -= 1
+
+    return app
+
+
+async def _route(node: Node, request: HttpRequest, send: Send) -> None:
+    snapshot = node.get_snapshot()
+    identity = authenticate(snapshot, request.headers.get("authorization", ""))
+    segments = [unquote(part) for part in request.path.strip("/").split("/")]
+    match segments:
+        case ["v1", "completions"]:
+            _require(request, "POST")
+            await prompts.handle_prompt(node, identity, request, send, False)
+        case ["v1", "chat", "completions"]:
+            _require(request, "POST")
+            await prompts.handle_prompt(node, identity, request, send, True)
+        case ["v1", "requests", request_id, "stream"]:
+            _require(request, "GET")
+            await prompts.handle_resume(node, identity, request, send, request_id)
+        case ["v1", "requests", request_id]:
+            _require(request, "GET", "DELETE")
+            if request.method == "DELETE":
+                await prompts.handle_cancel(node, identity, send, request_id)
+            else:
+                await prompts.handle_state(node, identity, send, request_id)
+        case ["v1", "models"]:
+            _require(request, "GET")
+            await _send_models(node, identity, send)
+        case _:
+            raise ApricotliftError(Code.NOT_FOUND, f"no path {request.path!r}")
+
+
+async def _send_models(node: Node, identity: Identity, send: Send) -> None:
+    declarations = node.get_snapshot().declarations
+    names = declarations.accounts[identity.account].models
+    data = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "apricotlift"}
+        for name in names
+    ]
+    await send_json(send, 200, {"object": "list", "data": data})
+
+
+def build_admin_app(node: Node):
+    """Return the ASGI app of the admin listener."""
+
+    async def app(scope, receive, send) -> None:
+        if scope["type"] != "http":
+            return
+        if scope["path"] == "/metrics":
+            body = node.metrics.render().encode()
+            headers = {
+                "content-type": "text/plain; version=0.0.4",
+                "content-length": str(len(body)),
+            }
+            await send_start(send, 200, headers)
+            await send({"type": "http.response.body", "body": body})
+        elif scope["path"] == "/health":
+            state = "draining" if node.is_draining else "serving"
+            await send_json(send, 200, {"state": state})
+        else:
+            error = ApricotliftError(Code.NOT_FOUND, f"no path {scope['path']!r}")
+            await send_error(send, error)
+
+    return app
+
+
+def _require(request: HttpRequest, *methods: str) -> None:
+    if request.method not in methods:
+        message = f"expected {' or '.join(methods)}, got {request.method}"
+        raise ApricotliftError(Code.METHOD_NOT_ALLOWED, message)
+
+
+def _count_refusal(node: Node, error: ApricotliftError, request_id: str | None) -> None:
+    node.metrics.count("refusals_total", code=error.code)
+    logs.log(
+        logs.INFO,
+        "refused",
+        request_id=request_id,
+        code=error.code,
+        ran=error.ran,
+        scope=error.scope,
+        message=error.message,
+    )
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/settings.py
@@ -0,0 +1,198 @@
+"""Settings of a node: an INI file, checked as a whole."""
+
+import ipaddress
+import ssl
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+from apricotlift.core.findings import Findings, Place
+from apricotlift.core.inifile import IniSection, build_section, read_ini
+from pydantic import AfterValidator, BaseModel, Field
+
+
+def _check_listen_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not 0 <= int(port) < 65536:
+        raise ValueError("port out of range")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_listen_address)]
+Seconds = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+Bytes = Annotated[int, Field(gt=0)]
+
+
+class NodeModel(BaseModel):
+    """``[node]``."""
+
+    name: Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+    failure_domain: Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,63}$")]
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+class ListenModel(BaseModel):
+    """``[listen]``."""
+
+    callers: Address = "127.0.0.1:0"
+    admin: Address = "127.0.0.1:0"
+    peers: Address = "127.0.0.1:0"
+
+
+class AdvertiseModel(BaseModel):
+    """``[advertise]``; empty means the address that was bound."""
+
+    callers: str = ""
+    peers: str = ""
+
+
+class PlatformModel(BaseModel):
+    """``[platform]``."""
+
+    table_url: str = ""
+    table_name: str = "apricotlift"
+    objects_url: str = ""
+    livelist_url: str = ""
+    authorization: str = ""
+    timeout_s: Seconds = 0.8
+
+
+class ConfigurationModel(BaseModel):
+    """``[configuration]``."""
+
+    declarations: str = ""
+
+
+class ClusterModel(BaseModel):
+    """``[cluster]``."""
+
+    secret: Annotated[str, Field(min_length=16)]
+
+
+class BorderModel(BaseModel):
+    """``[border]``."""
+
+    max_body_bytes: Bytes = 4_194_304
+    max_headers: Annotated[int, Field(gt=0)] = 64
+    max_header_bytes: Bytes = 16_384
+    body_timeout_s: Seconds = 10.0
+
+
+class StopModel(BaseModel):
+    """``[stop]``; a deadline of 0 means none."""
+
+    linger_s: Annotated[float, Field(ge=0)] = 35.0
+    deadline_s: Annotated[float, Field(ge=0)] = 0.0
+
+
+class TlsModel(BaseModel):
+    """``[tls]``; empty means plain TCP."""
+
+    certificate: str = ""
+    private_key: str = ""
+    upstream_ca: str = ""
+    peer_ca: str = ""
+
+
+class StreamsModel(BaseModel):
+    """``[streams]``."""
+
+    retention_s: Seconds = 600.0
+    first_token_timeout_s: Seconds = 120.0
+    token_timeout_s: Seconds = 10.0
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """All settings of a node; each attribute is one section."""
+
+    node: NodeModel
+    cluster: ClusterModel
+    listen: ListenModel = field(default_factory=ListenModel)
+    advertise: AdvertiseModel = field(default_factory=AdvertiseModel)
+    platform: PlatformModel = field(default_factory=PlatformModel)
+    configuration: ConfigurationModel = field(default_factory=ConfigurationModel)
+    border: BorderModel = field(default_factory=BorderModel)
+    stop: StopModel = field(default_factory=StopModel)
+    tls: TlsModel = field(default_factory=TlsModel)
+    streams: StreamsModel = field(default_factory=StreamsModel)
+
+
+_SECTIONS: dict[str, type[BaseModel]] = {
+    "node": NodeModel,
+    "cluster": ClusterModel,
+    "listen": ListenModel,
+    "advertise": AdvertiseModel,
+    "platform": PlatformModel,
+    "configuration": ConfigurationModel,
+    "border": BorderModel,
+    "stop": StopModel,
+    "tls": TlsModel,
+    "streams": StreamsModel,
+}
+_REQUIRED = ("node", "cluster")
+
+
+def load_settings(path: str | Path) -> NodeSettings:
+    """Read and check a settings file.
+
+    :raises ApricotliftError: ``bad_settings`` with all findings and their places.
+    """
+    findings = Findings()
+    sections = {section.name: section for section in read_ini(path, findings)}
+    built: dict[str, BaseModel] = {}
+    for name, section in sections.items():
+        model = _SECTIONS.get(name)
+        if model is None:
+            known = ", ".join(_SECTIONS)
+            message = f"unknown section; known are {known}"
+            findings.add(section.get_place(), "unknown_section", message)
+            continue
+        checked = build_section(model, section, findings)
+        if checked is not None:
+            built[name] = checked
+    if not findings:
+        for name in _REQUIRED:
+            if name not in built:
+                findings.add(Place(str(path)), "missing", f"section [{name}] is needed")
+    _check_together(built, sections, findings)
+    findings.raise_if_any()
+    return NodeSettings(**built)
+
+
+def _check_together(
+    built: dict[str, BaseModel], sections: dict[str, IniSection], findings: Findings
+) -> None:
+    platform = built.get("platform", PlatformModel())
+    configuration = built.get("configuration", ConfigurationModel())
+    if not platform.table_url and not configuration.declarations and not findings:
+        place = Place(next(iter(sections.values())).file if sections else "")
+        message = "either [platform] table_url or [configuration] declarations"
+        findings.add(place, "missing", f"{message} is needed")
+    if platform.table_url and not platform.objects_url:
+        place = sections["platform"].get_place("table_url")
+        findings.add(place, "missing", "table_url needs objects_url")
+    tls = built.get("tls", TlsModel())
+    if bool(tls.certificate) != bool(tls.private_key):
+        place = sections["tls"].get_place()
+        findings.add(place, "missing", "certificate and private_key go together")
+
+
+def build_server_context(tls: TlsModel) -> ssl.SSLContext | None:
+    """Return the TLS context of listeners, or ``None`` for plain TCP."""
+    if not tls.certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate, tls.private_key)
+    return context
+
+
+def build_client_context(ca_file: str) -> ssl.SSLContext | None:
+    """Return the TLS context that trusts one CA file, or ``None``."""
+    if not ca_file:
+        return None
+    context = ssl.create_default_context(cafile=ca_file)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return context
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,170 @@
+"""A small fleet for tests and the demo: stand-ins, declarations and nodes."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+
+import httpcore
+
+from standins.processes import Process, Processes
+
+CLUSTER_SECRET = "cluster-secret-for-tests"
+OPERATOR_KEY = "operator-key-for-tests"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def read_json(self) -> dict:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+    def read_events(self) -> list[dict]:
+        """Return the server-sent events as ``id``, ``event`` and ``data``."""
+        events = []
+        for block in self.body.decode().split("\n\n"):
+            fields = dict(
+                line.split(": ", 1) for line in block.splitlines() if ": " in line
+            )
+            if "data" in fields:
+                events.append(fields)
+        return events
+
+    def read_text(self) -> str:
+        """Return the streamed text; fails unless the answer is whole."""
+        events = self.read_events()
+        assert events and events[-1]["data"] == "[DONE]", self.body[-500:]
+        chunks = [json.loads(event["data"]) for event in events[:-1]]
+        assert chunks[-1]["choices"][0]["finish_reason"], chunks[-1]
+        return "".join(read_chunk_text(chunk) for chunk in chunks)
+
+
+def read_chunk_text(chunk: dict) -> str:
+    """Return the text of a completion or chat chunk."""
+    choice = chunk["choices"][0]
+    if "delta" in choice:
+        return choice["delta"].get("content", "")
+    return choice["text"]
+
+
+@dataclass
+class Fleet:
+    """Processes and the declarations that describe them."""
+
+    processes: Processes
+    sections: list[str] = field(default_factory=list)
+    keys: dict[str, str] = field(default_factory=dict)
+    nodes: dict[str, Process] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+
+    def add_account(self, account: str, models: str = "wax", services: str = "") -> str:
+        """Declare an account with one key; return the key."""
+        key = f"key-of-{account}"
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        services_line = f"services = {services}\n" if services else ""
+        self.sections.append(
+            f"[account {account}]\nmodels = {models}\n{services_line}"
+            f"[key {account}-1]\nsha256 = {digest}\naccount = {account}\n"
+        )
+        self.keys[account] = key
+        return key
+
+    def add_model(self, name: str = "wax", version: str = "v1") -> None:
+        """Declare a model."""
+        self.sections.append(f"[model {name}]\nweight_version = {version}\n")
+
+    def start_engine(self, name: str, *arguments: str, models: str = "wax") -> Process:
+        """Start and declare a stand-in engine."""
+        process = self.processes.start_module(
+            name, "standins.engine", "--name", name, *arguments
+        )
+        self.addresses[name] = process.get_address()
+        self.sections.append(
+            f"[upstream {name}]\nkind = engine\naddress = {self.addresses[name]}\n"
+            f"failure_domain = z1\nmodels = {models}\n"
+        )
+        return process
+
+    def write_declarations(self) -> str:
+        """Write the declarations; return the path."""
+        path = self.processes.write_file("declarations.ini", "\n".join(self.sections))
+        return str(path)
+
+    def start_node(self, name: str, domain: str = "z1", **sections: str) -> Process:
+        """Start a node on the declarations, with further settings sections."""
+        text = (
+            f"[node]\nname = {name}\nfailure_domain = {domain}\n"
+            f"[cluster]\nsecret = {CLUSTER_SECRET}\n"
+        )
+        if "platform" not in sections:
+            text += f"[configuration]\ndeclarations = {self.write_declarations()}\n"
+        for section, body in {"stop": "linger_s = 0", **sections}.items():
+            text += f"[{section}]\n{body}\n"
+        path = self.processes.write_file(f"{name}.ini", text)
+        process = self.processes.start_module(
+            name, "apricotlift.node.main", "serve", "--settings", str(path)
+        )
+        self.addresses[name] = process.get_address("callers")
+        self.addresses[f"{name}-admin"] = process.get_address("admin")
+        self.nodes[name] = process
+        return process
+
+    def request(
+        self,
+        target: str,
+        method: str,
+        path: str,
+        account: str | None = None,
+        body: object = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 60.0,
+    ) -> Answer:
+        """Send a request to a named process and return the whole answer."""
+        all_headers = {"content-type": "application/json", **(headers or {})}
+        if account is not None:
+            all_headers["authorization"] = f"Bearer {self.keys[account]}"
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        with httpcore.ConnectionPool() as pool:
+            response = pool.request(
+                method,
+                f"http://{self.addresses[target]}{path}",
+                headers=all_headers,
+                content=content if body is not None else b"",
+                extensions={"timeout": {"read": timeout_s, "connect": timeout_s}},
+            )
+        decoded = {
+            key.decode().lower(): value.decode() for key, value in response.headers
+        }
+        return Answer(response.status, decoded, response.content)
+
+    def complete(
+        self, target: str, account: str, prompt: str, headers=None, **values
+    ) -> Answer:
+        """Send a streamed completion."""
+        body = {"model": "wax", "prompt": prompt, "stream": True, "max_tokens": 20}
+        body.update(values)
+        return self.request(target, "POST", "/v1/completions", account, body, headers)
+
+    def set_faults(self, target: str, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        answer = self.request(target, "POST", "/faults", body=faults)
+        assert answer.status == 200, answer
+
+    def read_truth(self, target: str) -> dict:
+        """Return what a stand-in saw."""
+        return self.request(target, "GET", "/truth").read_json()
+
+    def read_metrics(self, node: str) -> dict[str, float]:
+        """Return a node's metrics by their full name with labels."""
+        text = self.request(f"{node}-admin", "GET", "/metrics").body.decode()
+        values = {}
+        for line in text.splitlines():
+            if line and not line.startswith("#"):
+                name, _, value = line.rpartition(" ")
+                values[name] = float(value)
+        return values
