--- /dev/null
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/acceptance_steps.py
@@ -0,0 +1,98 @@
+"""Steps for the acceptance of a configuration, on a clock of the test's own."""
+
+import anyio
+from apricotlift.state.acceptance import MEMBER_PK, wait_for_acceptance
+from apricotlift.state.tests.configuration_fakes import FakeTable
+from behave import given, then, when
+
+STEP_S = 0.25
+
+
+class Members:
+    """A table whose lease rows depend on the time; each read takes no time."""
+
+    def __init__(self, rows):
+        self.rows = [row.as_dict() for row in rows]
+        self.fake = FakeTable()
+        self.fake.on_read = self.advance
+        self.now_s = 1000.0
+        self.down = (0.0, 0.0)
+
+    def advance(self):
+        self.now_s += STEP_S
+        elapsed_s = self.now_s - 1000.0
+        self.fake.is_down = self.down[0] <= elapsed_s < self.down[1]
+        self.fake.rows.clear()
+        for row in self.rows:
+            word, _, rest = row["renews"].partition(" ")
+            at_s = float(rest.removesuffix(" s")) if rest else 0.0
+            if word == "until" and elapsed_s >= at_s:
+                continue
+            renewal = {"no": 0, "at": elapsed_s >= at_s}.get(word, self.now_s)
+            self.fake.put(
+                MEMBER_PK,
+                row["node"],
+                confirmed_version=int(row["confirms"]),
+                failure_domain="a",
+                renewal=renewal,
+            )
+
+
+@given("the configuration members")
+def set_members(context):
+    context.members = Members(context.table)
+
+
+@given("the configuration table is down from {start:d} s to {end:d} s")
+def set_outage(context, start, end):
+    context.members.down = (float(start), float(end))
+
+
+@when(
+    "the configuration acceptance of version {version:d} is awaited for {timeout:d} s"
+)
+def await_acceptance(context, version, timeout):
+    context.reports = []
+
+    async def wait():
+        context.acceptance = await wait_for_acceptance(
+            context.members.fake,
+            version,
+            float(timeout),
+            context.reports.append,
+            clock=lambda: context.members.now_s,
+            poll_s=0.0,
+        )
+
+    anyio.run(wait)
+    context.elapsed_s = context.members.now_s - 1000.0
+
+
+@then("the configuration is accepted after {earliest:f} s at the earliest")
+def check_accepted(context, earliest):
+    assert context.acceptance.accepted, context.acceptance
+    assert earliest <= context.elapsed_s <= earliest + 1.0, context.elapsed_s
+
+
+@then('the configuration is not accepted and waits for "{names}"')
+@then('the configuration is not accepted and waits for ""')
+def check_not_accepted(context, names=""):
+    assert not context.acceptance.accepted, context.acceptance
+    waiting = ",".join(item.node_id for item in context.acceptance.waiting)
+    assert waiting == names, context.acceptance
+
+
+@then('the configuration acceptance reported that it waits for "{name}"')
+def check_report(context, name):
+    waiting = {item.node_id for report in context.reports for item in report.waiting}
+    assert waiting == {name}, waiting
+
+
+@then('the configuration acceptance took "{name}" for expired')
+def check_expired(context, name):
+    assert context.acceptance.expired == (name,), context.acceptance
+
+
+@then("the configuration acceptance reported the outage")
+def check_outage_report(context):
+    assert any(report.problem for report in context.reports), context.reports
