--- a/packages/apricotlift-state/src/apricotlift/state/configuration.py
+++ b/packages/apricotlift-state/src/apricotlift/state/configuration.py
@@ -202,7 +202,7 @@
     if head.version and head.digest == digest:
         return Committed(head.version, digest, (), is_new=False)
     changes = tuple(compare_declarations(old, proposal.declarations))
-    check_change(old, proposal.declarations, await _read_retired(table))
+    check_change(old, proposal.declarations, await read_retired(table))
     await _put_document(objects, digest, body)
     writes = _build_writes(old, proposal, digest, changes)
     if await _commit(table, metrics, writes, proposal):
@@ -314,7 +314,8 @@
         await anyio.sleep(delay_s)
 
 
-async def _read_retired(table: Table) -> RetiredNames:
+async def read_retired(table: Table) -> RetiredNames:
+    """Return the names that all versions so far have retired."""
     slots = set()
     upstreams = []
     for row in await table.query(RETIRED_PK):
--- a/packages/apricotlift-state/src/apricotlift/state/declarations.py
+++ b/packages/apricotlift-state/src/apricotlift/state/declarations.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from apricotlift.core.errors import ApricotliftError, Code
-from apricotlift.core.findings import Findings
+from apricotlift.core.findings import Findings, Place
 from apricotlift.core.hashing import digest
 from apricotlift.core.inifile import IniSection, build_section, parse_ini, read_ini
 from apricotlift.state.checks import Places, check_between_sections
@@ -74,6 +74,9 @@
     for path in paths:
         path = Path(path)
         files = sorted(path.glob("*.ini")) if path.is_dir() else [path]
+        if not files:
+            # An empty folder would otherwise stand for removing everything.
+            findings.add(Place(str(path)), "no_files", "a folder without .ini files")
         for file in files:
             sections += read_ini(file, findings)
     return _build(sections, findings)
--- a/packages/apricotlift-state/src/apricotlift/state/sections.py
+++ b/packages/apricotlift-state/src/apricotlift/state/sections.py
@@ -148,7 +148,9 @@
     return re.fullmatch(_NAME, text) is not None
 
 
-def check_address(address: str, section: IniSection, findings: Findings) -> None:
+def check_address(
+    address: str, section: IniSection, findings: Findings, key: str = "address"
+) -> None:
     """Add a finding unless the address is an IP number and a port."""
     host, _, port = address.rpartition(":")
     if host.startswith("[") and host.endswith("]"):
@@ -160,4 +162,4 @@
         valid = False
     if not valid:
         message = f"expected IP:PORT, got {address!r}"
-        findings.add(section.get_place("address"), "bad_address", message)
+        findings.add(section.get_place(key), "bad_address", message)
