--- a/packages/apricotlift-state/src/apricotlift/state/tests/declarations.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/declarations.feature
@@ -12,6 +12,11 @@
     When the declarations are encoded and decoded
     Then the declarations are equal and their digest is the same again
 
+  # Guards against: a mistyped folder that applies as the removal of everything.
+  Scenario: The declarations of an empty folder are refused
+    When the declarations of an empty folder are read
+    Then the declarations reading fails with "no_files"
+
   # Guards against: a check that stops at the first fault, or names a fault that is
   # only the result of another one.
   Scenario: The declarations checks report all faults with their place
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/declarations_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/declarations_steps.py
@@ -1,6 +1,7 @@
 """Steps for declarations and the rules between their versions."""
 
 from dataclasses import replace
+from tempfile import TemporaryDirectory
 
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.state.changes import (
@@ -15,6 +16,7 @@
     decode_document,
     digest_document,
     encode_document,
+    load_declarations,
     parse_declarations,
 )
 from apricotlift.state.sections import MODELS
@@ -101,6 +103,22 @@
     assert digest_document(again) == digest_document(context.body)
 
 
+@when("the declarations of an empty folder are read")
+def read_empty_folder(context):
+    with TemporaryDirectory() as folder:
+        try:
+            load_declarations([folder])
+            context.error = None
+        except ApricotliftError as error:
+            context.error = error
+
+
+@then('the declarations reading fails with "{code}"')
+def check_reading_failed(context, code):
+    assert context.error is not None, "the folder was accepted"
+    assert code in str(context.error), context.error
+
+
 @given("the declarations text")
 def keep_text(context):
     context.declarations_text = context.text
