--- a/packages/apricotlift-state/src/apricotlift/state/follower.py
+++ b/packages/apricotlift-state/src/apricotlift/state/follower.py
@@ -68,22 +68,41 @@
 
 
 class Freshness(Protocol):
-    """What the follower tells the freshness state of the node."""
+    """What the follower reports; ``freshness.Freshness`` has this form.
 
-    def confirm(self, version: int, as_of: float) -> None:
-        """Note that ``version`` was the newest at a time of the boot-time clock."""
+    A read is reported before the version that it returned is put in force.
+    """
+
+    def observe_read(self, version: int, started_at: float) -> None:
+        """Note what a read of the head returned that began at this time."""
+
+    def observe_peer(self, version: int, age_s: float, started_at: float) -> None:
+        """Note a peer's head, its age, and when the request to it began."""
+
+    def observe_hint(self, version: int) -> None:
+        """Note that a version exists, without a confirmation."""
 
-    def notice(self, version: int) -> None:
-        """Note that a version exists, whether or not it is in force here."""
+    def put_in_force(self, version: int) -> bool:
+        """Note that a version is in force; return whether it is newer."""
 
 
 @dataclass(frozen=True)
 class _Finding:
-    """A head that one source named, and when it was certainly the newest."""
+    """A head that one source named.
+
+    :param started_at: when the request began.
+    :param age_s: the age of a peer's own confirmation.
+    """
 
     head: Head
-    as_of: float
+    started_at: float
     source: str
+    age_s: float = 0.0
+
+    @property
+    def as_of(self) -> float:
+        """When the head was certainly the newest."""
+        return self.started_at - self.age_s
 
 
 class ConfigurationFollower:
@@ -148,7 +167,7 @@
         """Poll at once when a peer's gossip names a newer version."""
         if version > max(self.version, self._noticed):
             self._noticed = version
-            self._freshness.notice(version)
+            self._freshness.observe_hint(version)
             self._wake.set()
 
     async def wait_for_version(self, version: int) -> Snapshot:
@@ -236,9 +255,8 @@
             return
         # The peer's age is as of its answer; counting it from before the request adds
         # the whole round trip.
-        as_of = started_at - answer.age_ms / 1000
         head = Head(answer.version, answer.digest)
-        findings.append(_Finding(head, as_of, "peer"))
+        findings.append(_Finding(head, started_at, "peer", answer.age_ms / 1000))
 
     async def _take(self, finding: _Finding) -> bool:
         """Apply what a source named, if it isn't older than what is in force.
@@ -259,17 +277,22 @@
         if head.version == 0:
             self._count_failure(finding.source, Code.NO_CONFIG)
             return False
-        if head.version > self.version:
-            self._freshness.notice(head.version)
+        is_newer = head.version > self.version
+        if not is_newer and head.digest != self.get_snapshot().digest:
+            self._count_failure(finding.source, "digest_mismatch")
+            return False
+        if finding.source == "table":
+            self._freshness.observe_read(head.version, finding.started_at)
+        else:
+            self._freshness.observe_peer(
+                head.version, finding.age_s, finding.started_at
+            )
+        if is_newer:
             snapshot = await self._load(head)
             if snapshot is None:
                 return False
             self._put_in_force(snapshot)
-        elif self._snapshot and head.digest != self._snapshot.digest:
-            self._count_failure(finding.source, "digest_mismatch")
-            return False
         self._as_of = max(self._as_of, finding.as_of)
-        self._freshness.confirm(self.version, finding.as_of)
         return True
 
     async def _load(self, head: Head) -> Snapshot | None:
@@ -307,6 +330,7 @@
                 f"version {snapshot.version} would replace version {self.version}"
             )
         self._snapshot = snapshot
+        self._freshness.put_in_force(snapshot.version)
         self._metrics.count("config_versions_applied_total")
         self._metrics.gauge("config_version", snapshot.version)
         logs.log(
