Resume an answer through another node, and stop a cancelled one everywhere

Cause: only the node that had started an answer could give it. A cancel sent to another node then made the first node resume and restart the attempt, and text that arrived after the cancel raised inside the node. Change: nodes ask the engines for the streams of a request key and follow the best one; a cancelled stream answers 410 at the engine; one cancel scope ends the task that fills an answer.

--- a/packages/apricotlift-node/src/apricotlift/node/attempts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/attempts.py
@@ -47,6 +47,7 @@
 class PromptCall:
     """An admitted prompt, pinned to one slot.
 
+    :param prompt: empty where a caller resumes without sending the prompt again.
     :param deadline: on the clock of :mod:`apricotlift.core.clocks`.
     """
 
@@ -85,14 +86,33 @@
     return slot.partition("@")[2].partition("+")[0]
 
 
-async def run_prompt(node: Node, call: PromptCall, stream: StreamState) -> None:
-    """Run a prompt and fill its stream; never raises."""
+@dataclass(frozen=True)
+class KeptAttempt:
+    """An attempt that another node has started and an engine still holds."""
+
+    upstream: Upstream
+    attempt_id: str
+    number: int
+
+
+async def run_prompt(
+    node: Node,
+    call: PromptCall,
+    stream: StreamState,
+    kept: KeptAttempt | None = None,
+) -> None:
+    """Run a prompt and fill its stream; never raises.
+
+    :param kept: an attempt to follow first, before any new one is made.
+    """
     started = clocks.monotonic()
     try:
         timeout_s = max(0.0, call.deadline - clocks.monotonic())
-        with anyio.move_on_after(timeout_s) as scope:
-            await _run_attempts(node, call, stream)
-        if scope.cancelled_caught and not stream.is_finished:
+        with stream.scope, anyio.move_on_after(timeout_s) as deadline_scope:
+            await _run_attempts(node, call, stream, kept)
+        if stream.scope.cancelled_caught:
+            raise ApricotliftError(Code.CANCELLED, "cancelled by its caller", Ran.YES)
+        if deadline_scope.cancelled_caught:
             raise ApricotliftError(
                 Code.DEADLINE_EXCEEDED, "the deadline has passed", Ran.MAYBE
             )
@@ -105,7 +125,7 @@
         stream.fail(ApricotliftError(Code.INTERNAL, "internal error", Ran.MAYBE))
     finally:
         if not stream.is_finished:
-            error = ApricotliftError(Code.CANCELLED, "cancelled", Ran.MAYBE)
+            error = ApricotliftError(Code.STOPPING, "the node stops", Ran.MAYBE)
             stream.fail(error)
         logs.log(
             logs.INFO,
@@ -120,9 +140,16 @@
         )
 
 
-async def _run_attempts(node: Node, call: PromptCall, stream: StreamState) -> None:
+async def _run_attempts(
+    node: Node, call: PromptCall, stream: StreamState, kept: KeptAttempt | None
+) -> None:
     tried: set[str] = set()
     number = 0
+    if kept is not None:
+        number = kept.number
+        if await _follow_kept(node, call, stream, kept):
+            return
+    first = number + 1
     while True:
         number += 1
         upstream = choose_engine(node, call, tried)
@@ -132,7 +159,7 @@
             await _run_on_engine(node, call, stream, upstream, attempt_id)
             return
         except ApricotliftError as error:
-            if error.code not in _RETRYABLE or number >= MAX_ATTEMPTS:
+            if error.code not in _RETRYABLE or number - first + 1 >= MAX_ATTEMPTS:
                 raise
             node.metrics.count("retries_total", reason=error.code, kind="attempt")
             logs.log(
@@ -147,6 +174,34 @@
             )
 
 
+async def _follow_kept(
+    node: Node, call: PromptCall, stream: StreamState, kept: KeptAttempt
+) -> bool:
+    """Follow another node's attempt; return whether the answer is whole.
+
+    :raises ApricotliftError: when it breaks off and there is no prompt to go on with.
+    """
+    stream.attempt_id = kept.attempt_id
+    stream.upstream = kept.upstream.name
+    engine = node.get_engine(kept.upstream)
+    timeouts = Timeouts(read_s=node.settings.streams.first_token_timeout_s)
+    for _ in range(MAX_RESUMES):
+        opened = engine.resume(kept.attempt_id, stream.n_characters, timeouts)
+        try:
+            await _follow(node, stream, kept.upstream, kept.attempt_id, opened)
+            return True
+        except ApricotliftError as error:
+            node.metrics.count("retries_total", reason=error.code, kind="resume")
+            if error.code not in _RESUMABLE:
+                if not call.prompt:
+                    raise
+                return False
+    if not call.prompt:
+        message = "the stream broke off and its prompt is not known here"
+        raise ApricotliftError(Code.STREAM_LOST, message, Ran.MAYBE)
+    return False
+
+
 def choose_engine(node: Node, call: PromptCall, tried: set[str]) -> Upstream:
     """Return the engine with the fewest attempts of this node in flight.
 
--- a/packages/apricotlift-node/src/apricotlift/node/prompts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/prompts.py
@@ -3,13 +3,14 @@
 import json
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran
 from apricotlift.core.hashing import digest
 from apricotlift.node.attempts import (
+    KeptAttempt,
     PromptCall,
     build_cache_salt,
     build_request_key,
@@ -24,6 +25,7 @@
     send_json,
     send_start,
 )
+from apricotlift.node.recovery import find_stream
 from apricotlift.node.runtime import Node
 from apricotlift.node.snapshot import Identity
 from apricotlift.node.streams import StreamState
@@ -94,6 +96,8 @@
     offset = read_offset(request, request_id)
     call = _build_call(node, identity, request, body, request_id, is_chat)
     stream = node.streams.get(call.request_key)
+    if stream is None and "last-event-id" in request.headers:
+        stream = await _adopt(node, call)
     if stream is None:
         stream = _start(node, call)
     elif stream.body_digest != call.body_digest:
@@ -111,7 +115,7 @@
 ) -> None:
     """Serve ``GET /v1/requests/{request id}/stream``."""
     offset = read_offset(request, request_id)
-    stream = _get_stream(node, identity, request_id)
+    stream = await _find_stream(node, identity, request_id)
     form = _Form(request_id, stream.model, "chat" in request.query, int(time.time()))
     await _send_stream(node, stream, form, offset, request, send)
 
@@ -120,7 +124,7 @@
     node: Node, identity: Identity, send: Send, request_id: str
 ) -> None:
     """Serve ``GET /v1/requests/{request id}``."""
-    stream = _get_stream(node, identity, request_id)
+    stream = await _find_stream(node, identity, request_id)
     state = "running"
     if stream.is_finished:
         state = "failed" if stream.error else "finished"
@@ -138,15 +142,14 @@
     node: Node, identity: Identity, send: Send, request_id: str
 ) -> None:
     """Serve ``DELETE /v1/requests/{request id}``."""
-    stream = _get_stream(node, identity, request_id)
-    attempt = node.attempts.get(stream.attempt_id)
+    stream = await _find_stream(node, identity, request_id)
     if not stream.is_finished:
-        stream.fail(ApricotliftError(Code.CANCELLED, "cancelled", Ran.YES))
-        if attempt is not None:
-            attempt.scope.cancel()
+        # The engine is told first: once it knows, no other node that follows the
+        # same attempt takes the end of its stream for a failure.
         declared = node.get_snapshot().declarations.upstreams.get(stream.upstream)
         if declared is not None:
             await node.get_engine(declared).cancel(stream.attempt_id)
+        stream.scope.cancel()
     await send_json(send, 200, {"request_id": request_id, "state": "cancelled"})
 
 
@@ -242,8 +245,10 @@
     return PRIORITIES[value]
 
 
-def _start(node: Node, call: PromptCall) -> StreamState:
-    if node.admit is not None:
+def _start(
+    node: Node, call: PromptCall, kept: KeptAttempt | None = None
+) -> StreamState:
+    if node.admit is not None and kept is None:
         node.admit(call.identity)
     stream = StreamState(
         call.request_id,
@@ -255,19 +260,59 @@
     )
     node.streams.add(stream)
     node.metrics.count("prompts_total")
-    node.tasks.start_soon(run_prompt, node, call, stream)
+    node.tasks.start_soon(run_prompt, node, call, stream, kept)
     return stream
 
 
-def _get_stream(node: Node, identity: Identity, request_id: str) -> StreamState:
+async def _find_stream(node: Node, identity: Identity, request_id: str) -> StreamState:
+    """Return an answer that this node holds or that an engine still has."""
     request_key = build_request_key(identity.account, request_id)
     stream = node.streams.get(request_key)
+    if stream is None:
+        stream = await _adopt(node, _build_bare_call(node, identity, request_id))
     if stream is None:
         message = f"no answer is held for request {request_id!r}"
         raise ApricotliftError(Code.STREAM_LOST, message, Ran.MAYBE)
     return stream
 
 
+async def _adopt(node: Node, call: PromptCall) -> StreamState | None:
+    """Take over the stream that another node has started, if an engine has it."""
+    account = node.get_snapshot().declarations.accounts[call.identity.account]
+    found = await find_stream(node, call.request_key, account.models)
+    # Another connection of the same caller may have adopted it meanwhile.
+    held = node.streams.get(call.request_key)
+    if held is not None or found is None:
+        return held
+    if call.prompt and found.body_digest != call.body_digest:
+        message = f"request id {call.request_id!r} was used with another body"
+        raise ApricotliftError(Code.REQUEST_ID_REUSED, message)
+    slot = found.kept.slot
+    salt = build_cache_salt(node.settings.cluster.secret, call.identity.account, slot)
+    call = replace(
+        call,
+        body_digest=found.body_digest,
+        model=slot.partition("@")[0],
+        slot=slot,
+        cache_salt=salt,
+    )
+    node.metrics.count("adopted_streams_total")
+    kept = KeptAttempt(found.upstream, found.kept.attempt_id, found.number)
+    stream = _start(node, call, kept)
+    stream.upstream = kept.upstream.name
+    stream.attempt_id = kept.attempt_id
+    return stream
+
+
+def _build_bare_call(node: Node, identity: Identity, request_id: str) -> PromptCall:
+    deadline_ms = node.get_snapshot().declarations.fleet.default_deadline_ms
+    request_key = build_request_key(identity.account, request_id)
+    deadline = clocks.monotonic() + deadline_ms / 1000
+    return PromptCall(
+        identity, request_id, request_key, "", "", "", "", 0, "", deadline
+    )
+
+
 async def _send_stream(
     node: Node,
     stream: StreamState,
--- a/packages/apricotlift-node/src/apricotlift/node/streams.py
+++ b/packages/apricotlift-node/src/apricotlift/node/streams.py
@@ -31,6 +31,7 @@
     """The answer to one request.
 
     :param request_key: digest of account and request id.
+    :param scope: cancelling it ends the task that fills the answer.
     :param body_digest: tells a repeated request from another one with the same id.
     """
 
@@ -46,6 +47,7 @@
     usage: Usage | None = None
     error: ApricotliftError | None = None
     finished_at: float | None = None
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     _texts: list[str] = field(default_factory=list)
     _ends: list[int] = field(default_factory=list)
     _changed: anyio.Event = field(default_factory=anyio.Event)
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
@@ -288,6 +288,8 @@
         "full": Code.UPSTREAM_FULL,
         "stream_not_found": Code.STREAM_LOST,
     }
+    if code == "cancelled":
+        return ApricotliftError(Code.CANCELLED, message, Ran.YES)
     known = by_code.get(code)
     if known is not None:
         ran = Ran.MAYBE if known is Code.STREAM_LOST else Ran.NO
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -182,6 +182,8 @@
         stream.cancelled = True
         stream.wake()
         return build_json_reply({})
+    if stream.cancelled:
+        return _refuse(410, "cancelled")
     return await _send_stream(engine, stream, int(request.query["offset"]), out)
 
 
