--- /dev/null
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -0,0 +1,358 @@
+"""The messages of the protocol between nodes.
+
+Each class has its ``kind`` on the wire, ``to_map`` and ``from_map``. ``MESSAGES``
+holds the class of each kind. Ages travel in milliseconds and are rounded up by the
+sender, so an age is never understated. Digests travel as bytes.
+"""
+
+import dataclasses
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.wire.schema import Record, Scalar
+
+#: A node talks only to nodes of the same protocol number.
+PROTOCOL = 1
+
+
+@dataclass(frozen=True)
+class Message(Record):
+    """Base of all messages."""
+
+    kind: ClassVar[str] = ""
+
+
+@dataclass(frozen=True)
+class Hello(Message):
+    """The first frame of each side."""
+
+    kind: ClassVar[str] = "hello"
+    protocol: int
+    node_id: str
+    incarnation: str
+    failure_domain: str
+    nonce: bytes
+
+
+@dataclass(frozen=True)
+class Proof(Message):
+    """The second frame of each side: proof of the cluster secret."""
+
+    kind: ClassVar[str] = "proof"
+    mac: bytes
+
+
+@dataclass(frozen=True)
+class Failure(Message):
+    """The reply to a request that the handler refused or failed."""
+
+    kind: ClassVar[str] = "failure"
+    code: str
+    message: str
+
+
+@dataclass(frozen=True)
+class Ack(Message):
+    """The reply that carries nothing but success."""
+
+    kind: ClassVar[str] = "ack"
+
+
+@dataclass(frozen=True)
+class MemberSummary(Record):
+    """What gossip says about one incarnation of a member."""
+
+    node_id: str
+    incarnation: str
+    peer_address: str
+    caller_address: str
+    failure_domain: str
+    state: str
+
+
+@dataclass(frozen=True)
+class Heartbeat(Message):
+    """One side of a gossip exchange; :class:`HeartbeatReply` has the same fields.
+
+    Two nodes with the same roster (equal ``roster`` digests) need one byte for each
+    member. Otherwise ``keys`` lists the sender's roster, and the two sides exchange
+    the entries that the other one lacks.
+
+    :param roster: digest of the sender's member list.
+    :param ages: one byte for each member in roster order; see ``state.gossip``.
+    :param lags: members that confirm a version below ``base_version``.
+    :param base_version: the newest configuration version among the members.
+    :param keys: 8 bytes for each member in roster order, or empty.
+    :param entries: summaries of members that the other side lacks.
+    :param wanted: keys of members whose summaries the sender lacks.
+    :param config_version: the configuration version in force at the sender.
+    :param config_age_ms: the sender's freshness age, rounded up; -1 if unconfirmed.
+    """
+
+    kind: ClassVar[str] = "heartbeat"
+    roster: bytes
+    ages: bytes
+    lags: bytes
+    base_version: int
+    keys: bytes
+    entries: list[MemberSummary]
+    wanted: list[bytes]
+    config_version: int
+    config_age_ms: int
+
+
+@dataclass(frozen=True)
+class HeartbeatReply(Heartbeat):
+    """The answer to a :class:`Heartbeat`."""
+
+    kind: ClassVar[str] = "heartbeat_reply"
+
+
+@dataclass(frozen=True)
+class HeadRequest(Message):
+    """Asks which configuration version is the newest known."""
+
+    kind: ClassVar[str] = "head_request"
+
+
+@dataclass(frozen=True)
+class HeadReply(Message):
+    """The head as the peer knows it, with the peer's freshness age."""
+
+    kind: ClassVar[str] = "head_reply"
+    version: int
+    digest: str
+    age_ms: int
+    known: bool
+
+
+@dataclass(frozen=True)
+class DocumentRequest(Message):
+    """Asks for the configuration document of a digest."""
+
+    kind: ClassVar[str] = "document_request"
+    digest: str
+
+
+@dataclass(frozen=True)
+class DocumentReply(Message):
+    """The document, if the peer has it."""
+
+    kind: ClassVar[str] = "document_reply"
+    found: bool
+    body: bytes
+
+
+@dataclass(frozen=True)
+class PrefixRun(Record):
+    """How much of a chain one upstream or store holds.
+
+    :param holder: name of the upstream or store.
+    :param is_store: whether the holder is a KV store.
+    :param boot_id: boot id of the holder when the run was seen.
+    :param blocks: digests of the run in chain order.
+    :param sequence: event sequence number at the holder; 0 if unknown.
+    :param age_ms: time since the run was seen.
+    """
+
+    holder: str
+    is_store: bool
+    boot_id: str
+    blocks: list[bytes]
+    sequence: int
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class Locate(Message):
+    """Asks an owner where a chain is cached and how often its request crashed."""
+
+    kind: ClassVar[str] = "locate"
+    shard_key: bytes
+    chain: list[bytes]
+    fingerprint: bytes
+
+
+@dataclass(frozen=True)
+class LocateReply(Message):
+    """The owner's hints; ``known`` is false where it has no entry."""
+
+    kind: ClassVar[str] = "locate_reply"
+    runs: list[PrefixRun]
+    crash_count: int
+    known: bool
+
+
+@dataclass(frozen=True)
+class RecordRuns(Message):
+    """Reports prefix runs to an owner."""
+
+    kind: ClassVar[str] = "record_runs"
+    shard_key: bytes
+    runs: list[PrefixRun]
+
+
+@dataclass(frozen=True)
+class ReportCrash(Message):
+    """Reports that a request was in flight when an upstream crashed."""
+
+    kind: ClassVar[str] = "report_crash"
+    shard_key: bytes
+    fingerprint: bytes
+    upstream: str
+    boot_id: str
+
+
+@dataclass(frozen=True)
+class ClearSuspect(Message):
+    """Reports that a suspect completed."""
+
+    kind: ClassVar[str] = "clear_suspect"
+    shard_key: bytes
+    fingerprint: bytes
+
+
+@dataclass(frozen=True)
+class RecordAttempt(Message):
+    """Reports where a request's stream is."""
+
+    kind: ClassVar[str] = "record_attempt"
+    request_key: str
+    attempt_id: str
+    upstream: str
+    slot: str
+
+
+@dataclass(frozen=True)
+class FindAttempt(Message):
+    """Asks an owner for a request's stream."""
+
+    kind: ClassVar[str] = "find_attempt"
+    request_key: str
+
+
+@dataclass(frozen=True)
+class FindAttemptReply(Message):
+    """Where the stream is, if the owner knows it."""
+
+    kind: ClassVar[str] = "find_attempt_reply"
+    found: bool
+    attempt_id: str
+    upstream: str
+    slot: str
+
+
+@dataclass(frozen=True)
+class LoadNote(Message):
+    """Corrects an upstream's lagging load report."""
+
+    kind: ClassVar[str] = "load_note"
+    upstream: str
+    n_started: int
+    n_finished: int
+    prompt_tokens: int
+
+
+@dataclass(frozen=True)
+class ClaimItem(Record):
+    """One claim write of a group commit.
+
+    :param operation: ``claim``, ``record`` or ``release``.
+    :param pk: partition key of the claim row.
+    :param token: the token of the attempt.
+    :param values: further values of the row.
+    """
+
+    operation: str
+    pk: str
+    token: str
+    values: dict[str, Scalar]
+
+
+@dataclass(frozen=True)
+class ClaimResult(Record):
+    """The outcome of one item: empty code on success, else an error code.
+
+    :param values: the row that stood in the way, if any.
+    """
+
+    code: str
+    values: dict[str, Scalar]
+
+
+@dataclass(frozen=True)
+class WriteClaims(Message):
+    """Asks a writer node to write claims in its next batch."""
+
+    kind: ClassVar[str] = "write_claims"
+    items: list[ClaimItem]
+
+
+@dataclass(frozen=True)
+class WriteClaimsReply(Message):
+    """One result for each item, in order."""
+
+    kind: ClassVar[str] = "write_claims_reply"
+    results: list[ClaimResult]
+
+
+@dataclass(frozen=True)
+class RenewLease(Message):
+    """Asks a peer to write the sender's lease row.
+
+    :param row: values of the new row.
+    :param expected: values that the table's row must have for the write; empty
+        where there must be no row.
+    """
+
+    kind: ClassVar[str] = "renew_lease"
+    row: dict[str, Scalar]
+    expected: dict[str, Scalar] = field(default_factory=dict)
+
+
+MESSAGES: dict[str, type[Message]] = {
+    message.kind: message
+    for message in (
+        Hello,
+        Proof,
+        Failure,
+        Ack,
+        Heartbeat,
+        HeartbeatReply,
+        HeadRequest,
+        HeadReply,
+        DocumentRequest,
+        DocumentReply,
+        Locate,
+        LocateReply,
+        RecordRuns,
+        ReportCrash,
+        ClearSuspect,
+        RecordAttempt,
+        FindAttempt,
+        FindAttemptReply,
+        LoadNote,
+        WriteClaims,
+        WriteClaimsReply,
+        RenewLease,
+    )
+}
+
+
+def decode_message(kind: object, body: object) -> Message:
+    """Build the message of a kind from its body map.
+
+    :raises ApricotliftError: ``PEER_PROTOCOL`` on an unknown kind or a wrong body.
+    """
+    if type(kind) is not str or kind not in MESSAGES:
+        shown = kind[:40] if type(kind) is str else type(kind).__name__
+        raise ApricotliftError(Code.PEER_PROTOCOL, f"unknown message kind {shown!r}")
+    return MESSAGES[kind].from_map(body)
+
+
+def convert_to_reply(message: Heartbeat) -> HeartbeatReply:
+    """Return a heartbeat's content as a reply."""
+    fields = dataclasses.fields(message)
+    values = {entry.name: getattr(message, entry.name) for entry in fields}
+    return HeartbeatReply(**values)
--- /dev/null
+++ b/packages/apricotlift-wire/src/apricotlift/wire/schema.py
@@ -0,0 +1,147 @@
+"""Typed conversion between data classes and the body maps of frames.
+
+A message class lists its fields with one of a few types. Decoding refuses a missing
+key, an unknown key and a value of another type, so that code behind the decoder
+never meets a value that the class doesn't declare.
+"""
+
+import dataclasses
+import types
+import typing
+from collections.abc import Callable, Mapping
+from typing import Any, Self
+
+from apricotlift.core.errors import ApricotliftError, Code
+
+#: Integers of a message fit a signed 64-bit field of any implementation.
+MAX_INTEGER = (1 << 63) - 1
+
+Scalar = str | int | float | bytes | bool
+Decoder = Callable[[Any, str], Any]
+
+_decoders: dict[type, dict[str, Decoder]] = {}
+
+
+class Record:
+    """Base of data classes that travel in a body map."""
+
+    def to_map(self) -> dict[str, Any]:
+        """Return the body map of this record."""
+        return {
+            name: _encode_value(getattr(self, name))
+            for name in get_decoders(type(self))
+        }
+
+    @classmethod
+    def from_map(cls, body: object) -> Self:
+        """Build the record from a decoded body map.
+
+        :raises ApricotliftError: ``PEER_PROTOCOL`` on a wrong key or type.
+        """
+        decoders = get_decoders(cls)
+        if not isinstance(body, Mapping):
+            raise build_refusal(cls.__name__, body, "a map")
+        # ``get`` would accept a missing key, and a comparison of key sets fails on
+        # keys that have no order, so sizes and each key are compared.
+        missing = [name for name in decoders if name not in body]
+        if missing or len(body) != len(decoders):
+            unknown = [str(key)[:40] for key in body if key not in decoders]
+            raise ApricotliftError(
+                Code.PEER_PROTOCOL,
+                f"{cls.__name__}: missing keys {missing}, unknown keys {unknown[:5]}",
+            )
+        values = {
+            name: decode(body[name], f"{cls.__name__}.{name}")
+            for name, decode in decoders.items()
+        }
+        return cls(**values)
+
+
+def get_decoders(cls: type) -> dict[str, Decoder]:
+    """Return the decoder of each field of a data class, built at first use."""
+    known = _decoders.get(cls)
+    if known is None:
+        hints = typing.get_type_hints(cls)
+        known = {
+            field.name: build_decoder(hints[field.name])
+            for field in dataclasses.fields(cls)
+        }
+        _decoders[cls] = known
+    return known
+
+
+def build_decoder(hint: Any) -> Decoder:
+    """Return a function that checks and converts one decoded value.
+
+    :param hint: ``int``, ``str``, ``bytes``, ``bool``, a union of scalars,
+        ``list[...]``, ``dict[str, ...]`` or a :class:`Record` class.
+
+    >>> build_decoder(list[int])([1, 2], "Example.numbers")
+    [1, 2]
+    """
+    origin = typing.get_origin(hint)
+    arguments = typing.get_args(hint)
+    if origin is list:
+        return _build_list_decoder(build_decoder(arguments[0]))
+    if origin is dict:
+        return _build_dict_decoder(build_decoder(arguments[1]))
+    if origin is types.UnionType:
+        return _build_scalar_decoder(arguments)
+    if isinstance(hint, type) and issubclass(hint, Record):
+        return lambda value, place: hint.from_map(value)
+    return _build_scalar_decoder((hint,))
+
+
+def build_refusal(place: str, value: object, expected: str) -> ApricotliftError:
+    """Return the error for a value of a wrong type.
+
+    Only the type is named, because the value may belong to a client account.
+    """
+    return ApricotliftError(
+        Code.PEER_PROTOCOL, f"{place}: expected {expected}, got {type(value).__name__}"
+    )
+
+
+def _build_scalar_decoder(accepted: tuple[type, ...]) -> Decoder:
+    # ``type`` is compared because ``isinstance(True, int)`` holds.
+    names = " or ".join(kind.__name__ for kind in accepted)
+
+    def decode(value: Any, place: str) -> Any:
+        if type(value) not in accepted:
+            raise build_refusal(place, value, names)
+        if type(value) is int and not -MAX_INTEGER <= value <= MAX_INTEGER:
+            raise ApricotliftError(
+                Code.PEER_PROTOCOL, f"{place}: expected an integer of 64 bits"
+            )
+        return value
+
+    return decode
+
+
+def _build_list_decoder(decode_item: Decoder) -> Decoder:
+    def decode(value: Any, place: str) -> list:
+        if type(value) is not list:
+            raise build_refusal(place, value, "a list")
+        return [decode_item(item, place) for item in value]
+
+    return decode
+
+
+def _build_dict_decoder(decode_item: Decoder) -> Decoder:
+    def decode(value: Any, place: str) -> dict:
+        if type(value) is not dict:
+            raise build_refusal(place, value, "a map")
+        for key in value:
+            if type(key) is not str:
+                raise build_refusal(place, key, "a string key")
+        return {key: decode_item(item, place) for key, item in value.items()}
+
+    return decode
+
+
+def _encode_value(value: Any) -> Any:
+    if isinstance(value, Record):
+        return value.to_map()
+    if isinstance(value, list):
+        return [_encode_value(item) for item in value]
+    return value
