Add authenticated connections between nodes

Cause: nodes need one path to each other that admits only holders of the cluster secret and that one faulty peer can't stop.

--- /dev/null
+++ b/packages/apricotlift-wire/src/apricotlift/wire/listener.py
@@ -0,0 +1,209 @@
+"""The listener for other nodes' connections."""
+
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from http import HTTPStatus
+from typing import Self
+
+import anyio
+from apricotlift.core import logs
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.metrics import Metrics
+from apricotlift.wire.frames import MAX_FRAME_BYTES, ONE_WAY, Frame
+from apricotlift.wire.handshake import (
+    Identity,
+    authenticate_as_listener,
+    check_secret,
+)
+from apricotlift.wire.links import Link, count_close
+from apricotlift.wire.messages import Failure, Message
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.http11 import Request, Response
+
+PEER_PATH = "/peer"
+
+HANDSHAKE_TIMEOUT_S = 5.0
+PING_INTERVAL_S = 10.0
+CLOSE_TIMEOUT_S = 2.0
+
+#: Connections that have not proved the secret yet; more are cut off at once, so
+#: that strangers can't take the node's memory.
+MAX_UNAUTHENTICATED = 128
+
+#: Requests of one connection that run at the same time. Reading stops above it,
+#: so a peer that sends faster is slowed by TCP.
+MAX_RUNNING_REQUESTS = 64
+
+#: Handlers of a lost connection may finish a write that they have begun.
+HANDLER_GRACE_S = 5.0
+
+Handler = Callable[[Message, Identity], Awaitable[Message | None]]
+
+
+class PeerServer:
+    """Accepts peers on a bound socket and passes their messages to handlers.
+
+    It is an async context manager, and serves between entry and exit.
+
+    :param listening_socket: a bound TCP socket, which the server closes.
+    :param get_identity: returns this node's identity at each handshake.
+    :param secret: the cluster secret.
+    :param tls: context of the TLS side, or ``None`` for plain TCP.
+    """
+
+    def __init__(
+        self,
+        listening_socket: socket.socket,
+        get_identity: Callable[[], Identity],
+        secret: bytes,
+        metrics: Metrics,
+        tls: ssl.SSLContext | None = None,
+    ):
+        check_secret(secret)
+        self._socket = listening_socket
+        self._get_identity = get_identity
+        self._secret = secret
+        self._metrics = metrics
+        self._tls = tls
+        self._handlers: dict[str, Handler] = {}
+        self._n_unauthenticated = 0
+        self._n_connections = 0
+        self._stack = AsyncExitStack()
+
+    def register(self, message_class: type[Message], handler: Handler) -> None:
+        """Set the handler of a message kind.
+
+        The handler returns the reply, or ``None`` for a one-way message. An
+        ``ApricotliftError`` that it raises reaches the requester with its code.
+        """
+        if message_class.kind in self._handlers:
+            raise ValueError(f"{message_class.kind} already has a handler")
+        self._handlers[message_class.kind] = handler
+
+    async def __aenter__(self) -> Self:
+        server = serve(
+            self._serve_connection,
+            sock=self._socket,
+            ssl=self._tls,
+            process_request=self._check_path,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_INTERVAL_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            server_header=None,
+        )
+        await self._stack.enter_async_context(server)
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self._stack.aclose()
+
+    def _check_path(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        if request.path == PEER_PATH:
+            return None
+        self._count_close(Code.NOT_FOUND)
+        return connection.respond(HTTPStatus.NOT_FOUND, "not found\n")
+
+    async def _serve_connection(self, websocket: ServerConnection) -> None:
+        link = Link(websocket, self._metrics, is_opener=False)
+        peer = await self._authenticate(link)
+        if peer is None:
+            return
+        self._count_connections(1)
+        try:
+            await self._serve_peer(link, peer)
+        except ApricotliftError as error:
+            count_close(self._metrics, "listener", error)
+            await link.close(error.code)
+        finally:
+            self._count_connections(-1)
+
+    async def _authenticate(self, link: Link) -> Identity | None:
+        if self._n_unauthenticated >= MAX_UNAUTHENTICATED:
+            self._count_close(Code.OVERLOADED)
+            return None
+        self._n_unauthenticated += 1
+        try:
+            with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+                return await authenticate_as_listener(
+                    link, self._get_identity(), self._secret
+                )
+        except ApricotliftError as error:
+            count_close(self._metrics, "listener", error)
+            logs.log(logs.WARNING, "peer_refused", code=error.code, reason=str(error))
+            await link.close(error.code)
+        except TimeoutError:
+            self._count_close(Code.SLOW_SENDER)
+        finally:
+            self._n_unauthenticated -= 1
+        return None
+
+    async def _serve_peer(self, link: Link, peer: Identity) -> None:
+        running = anyio.Semaphore(MAX_RUNNING_REQUESTS)
+        async with anyio.create_task_group() as tasks:
+            try:
+                while True:
+                    await running.acquire()
+                    frame = await link.receive()
+                    tasks.start_soon(self._answer, link, peer, frame, running)
+            except ApricotliftError as error:
+                # Raised below, because a task group would wrap it in a group.
+                reason = error
+                tasks.cancel_scope.deadline = anyio.current_time() + HANDLER_GRACE_S
+        raise reason
+
+    async def _answer(
+        self, link: Link, peer: Identity, frame: Frame, running: anyio.Semaphore
+    ) -> None:
+        try:
+            reply = await self._run_handler(peer, frame.message)
+            if frame.request_number != ONE_WAY and reply is not None:
+                await link.send(reply, frame.request_number)
+        except ApricotliftError as error:
+            # The reply couldn't be sent; the reader sees a closed connection too.
+            reason = error.code
+            self._metrics.count("peer_drops_total", reason=f"reply_{reason}")
+            if reason == Code.FRAME_TOO_LARGE and link.websocket.close_code is None:
+                await self._send_failure(link, frame.request_number, error)
+        finally:
+            running.release()
+
+    async def _send_failure(
+        self, link: Link, request_number: int, error: ApricotliftError
+    ) -> None:
+        try:
+            await link.send(Failure(str(error.code), error.message), request_number)
+        except ApricotliftError as second:
+            self._metrics.count("peer_drops_total", reason=f"reply_{second.code}")
+
+    async def _run_handler(self, peer: Identity, message: Message) -> Message | None:
+        handler = self._handlers.get(message.kind)
+        if handler is None:
+            self._count_failure(message, Code.NOT_FOUND)
+            return Failure(str(Code.NOT_FOUND), f"no handler for {message.kind}")
+        try:
+            return await handler(message, peer)
+        except ApricotliftError as error:
+            self._count_failure(message, error.code)
+            return Failure(str(error.code), error.message)
+        # A fault of one handler must not end the connection of a peer.
+        except Exception:
+            self._count_failure(message, Code.INTERNAL)
+            logs.log_exception("peer_handler_failed", kind=message.kind)
+            return Failure(str(Code.INTERNAL), "the handler failed")
+
+    def _count_failure(self, message: Message, code: Code) -> None:
+        self._metrics.count("peer_failures_total", kind=message.kind, code=code)
+
+    def _count_close(self, reason: Code) -> None:
+        self._metrics.count("peer_closed_total", side="listener", reason=reason)
+
+    def _count_connections(self, change: int) -> None:
+        self._n_connections += change
+        self._metrics.gauge("peer_connections", self._n_connections, side="listener")
