Give heartbeats compact ages and a proof of their time

Cause: full summaries of 360 members in each heartbeat exceed 25 KB/s, and a heartbeat that waited in a buffer would make members look alive. Change: Heartbeat carries one age byte a member in roster order, lags, keys only where rosters differ, and a stamp that the other side echoes. RenewLease names the incarnation that the row may replace.

--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -5,8 +5,7 @@
 sender, so an age is never understated. Digests travel as bytes.
 """
 
-import dataclasses
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import ClassVar
 
 from apricotlift.core.errors import ApricotliftError, Code
@@ -76,17 +75,22 @@
     """One side of a gossip exchange; :class:`HeartbeatReply` has the same fields.
 
     Two nodes with the same roster (equal ``roster`` digests) need one byte for each
-    member. Otherwise ``keys`` lists the sender's roster, and the two sides exchange
-    the entries that the other one lacks.
+    member. Otherwise the reply lists its sender's ``keys``, and a second exchange
+    carries the entries that the two sides lack.
 
     :param roster: digest of the sender's member list.
-    :param ages: one byte for each member in roster order; see ``state.gossip``.
-    :param lags: members that confirm a version below ``base_version``.
+    :param ages: one byte for each member in roster order: time since the member is
+        known to have been alive, in units of 50 ms, rounded up; 255 for unknown.
+    :param lags: how far members are below ``base_version``; see ``state.gossip``.
     :param base_version: the newest configuration version among the members.
     :param keys: 8 bytes for each member in roster order, or empty.
     :param entries: summaries of members that the other side lacks.
     :param wanted: keys of members whose summaries the sender lacks.
-    :param config_version: the configuration version in force at the sender.
+    :param stamp: opaque bytes that name the sender's process and time.
+    :param echo: the stamp that the receiver sent last, or empty.
+    :param held_ms: time since the echoed stamp arrived, rounded down.
+    :param config_version: the configuration version in force at the sender, 0 if
+        none is.
     :param config_age_ms: the sender's freshness age, rounded up; -1 if unconfirmed.
     """
 
@@ -98,6 +102,9 @@
     keys: bytes
     entries: list[MemberSummary]
     wanted: list[bytes]
+    stamp: bytes
+    echo: bytes
+    held_ms: int
     config_version: int
     config_age_ms: int
 
@@ -302,13 +309,13 @@
     """Asks a peer to write the sender's lease row.
 
     :param row: values of the new row.
-    :param expected: values that the table's row must have for the write; empty
-        where there must be no row.
+    :param replaces: the sender's incarnation before a pause, whose row this one
+        may replace; empty for a renewal.
     """
 
     kind: ClassVar[str] = "renew_lease"
     row: dict[str, Scalar]
-    expected: dict[str, Scalar] = field(default_factory=dict)
+    replaces: str
 
 
 MESSAGES: dict[str, type[Message]] = {
@@ -349,10 +356,3 @@
         shown = kind[:40] if type(kind) is str else type(kind).__name__
         raise ApricotliftError(Code.PEER_PROTOCOL, f"unknown message kind {shown!r}")
     return MESSAGES[kind].from_map(body)
-
-
-def convert_to_reply(message: Heartbeat) -> HeartbeatReply:
-    """Return a heartbeat's content as a reply."""
-    fields = dataclasses.fields(message)
-    values = {entry.name: getattr(message, entry.name) for entry in fields}
-    return HeartbeatReply(**values)
