--- /dev/null
+++ b/packages/apricotlift-state/src/apricotlift/state/claimrows.py
@@ -0,0 +1,126 @@
+"""Rows of claims on non-repeatable calls, and the results recorded in them."""
+
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from apricotlift.core.hashing import digest
+from apricotlift.platform import Row
+
+SORT_KEY = "claim"
+EXPIRY_MS = 30 * 24 * 3600 * 1000
+MAX_INLINE_BYTES = 65_536
+
+
+class Outcome(StrEnum):
+    """How a dispatched call ended."""
+
+    ANSWERED = "answered"
+    UNCLEAR = "unclear"
+
+
+@dataclass(frozen=True)
+class CallResult:
+    """What an upstream answered, or that its answer is missing.
+
+    :param outcome: ``unclear`` when bytes were sent and no answer arrived.
+    """
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    outcome: Outcome = Outcome.ANSWERED
+
+
+UNCLEAR_RESULT = CallResult(outcome=Outcome.UNCLEAR)
+
+
+@dataclass(frozen=True)
+class ClaimRow:
+    """A claim as the table holds it.
+
+    :param body_digest: of the whole call: service, method, path and body.
+    :param object_key: where a large body is, empty for a body in the row.
+    """
+
+    pk: str
+    token: str
+    node: str
+    incarnation: str
+    body_digest: str
+    claimed_at_ms: int
+    recorded_at_ms: int = 0
+    expires_at_ms: int = 0
+    outcome: Outcome = Outcome.ANSWERED
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    object_key: str = ""
+    body_sha256: str = ""
+
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the call's result is in the row."""
+        return self.recorded_at_ms > 0
+
+    def is_expired(self, now_ms: int) -> bool:
+        """Whether a repeat of the key is a new call.
+
+        A claim without a record never expires, because its call may have run.
+        """
+        return self.is_recorded and now_ms >= self.expires_at_ms
+
+
+def build_claim_pk(account: str, key: str) -> str:
+    """Return the partition key of a caller's idempotency key.
+
+    >>> build_claim_pk("north", "k-1")
+    'claim#north#d31ef0185e4c9110cdb99c95ab792411'
+    """
+    return f"claim#{account}#{digest('claim', account, key).hex()}"
+
+
+def encode_claim(claim: ClaimRow) -> Row:
+    """Return the table row of a claim."""
+    values = {
+        "token": claim.token,
+        "node": claim.node,
+        "incarnation": claim.incarnation,
+        "body_digest": claim.body_digest,
+        "claimed_at_ms": claim.claimed_at_ms,
+    }
+    if claim.is_recorded:
+        values |= {
+            "recorded_at_ms": claim.recorded_at_ms,
+            "expires_at_ms": claim.expires_at_ms,
+            "outcome": str(claim.outcome),
+            "status": claim.status,
+            "headers": json.dumps(claim.headers, separators=(",", ":")),
+        }
+        if claim.object_key:
+            values["object_key"] = claim.object_key
+            values["body_sha256"] = claim.body_sha256
+        else:
+            values["body"] = claim.body
+    return Row(claim.pk, SORT_KEY, values)
+
+
+def decode_claim(row: Row) -> ClaimRow:
+    """Return the claim of a table row."""
+    values = row.values
+    return ClaimRow(
+        row.pk,
+        values["token"],
+        values["node"],
+        values["incarnation"],
+        values["body_digest"],
+        values["claimed_at_ms"],
+        values.get("recorded_at_ms", 0),
+        values.get("expires_at_ms", 0),
+        Outcome(values.get("outcome", Outcome.ANSWERED)),
+        values.get("status", 0),
+        json.loads(values.get("headers", "{}")),
+        values.get("body", b""),
+        values.get("object_key", ""),
+        values.get("body_sha256", ""),
+    )
