Add routed calls to plain services

Cause: calls to plain services need one path that keeps a non-repeatable call to at most one run and retries others within the budget. Paths with dot segments are refused, because the rule of another path would decide about them. Conclusion: the HTTP server can call it through data classes.

--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/calls.py
@@ -0,0 +1,398 @@
+"""Routed calls to plain services.
+
+A call whose rule says ``repeat = never`` is sent under a claim, so that it runs at
+most once however often its caller repeats it. Other calls may be sent again to
+another upstream, within the retry budget.
+"""
+
+import random
+import re
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+from urllib.parse import unquote
+
+import anyio
+from apricotlift.core import clocks
+from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.core.hashing import digest
+from apricotlift.core.metrics import Metrics
+from apricotlift.node.callheaders import strip_answer, strip_request
+from apricotlift.state.claimrows import UNCLEAR_RESULT, CallResult
+from apricotlift.state.claims import Claim, Claims, ClaimState, Recorded
+from apricotlift.state.declarations import Declarations, Upstream
+from apricotlift.upstreams.pool import Pool, Response, Timeouts
+
+MAX_KEY_CHARACTERS = 255
+_RETRIED_STATUSES = (502, 503, 504)
+_METHOD = re.compile(r"[A-Z]{1,16}")
+_KEY = re.compile(r"[\x21-\x7e]+")
+#: The connect timeout ends before the deadline's scope, so that a connection that
+#: never opened is known not to have carried the call.
+_DEADLINE_SLACK_S = 0.1
+
+
+@dataclass(frozen=True)
+class ServiceCall:
+    """A call that a caller's key has been checked for.
+
+    :param path: the path at the service, with a leading slash.
+    :param query: the raw query without the question mark.
+    :param headers: by lower-case name.
+    :param deadline_at: time of the boot-time clock, ``None`` for the fleet's default.
+    """
+
+    account: str
+    service: str
+    method: str
+    path: str
+    query: str = ""
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    idempotency_key: str = ""
+    deadline_at: float | None = None
+
+
+@dataclass(frozen=True)
+class ServiceAnswer:
+    """What the caller receives.
+
+    :param upstream: who answered; empty for a recorded answer.
+    :param is_replay: the answer is the recorded one of an earlier call.
+    :param key_expires_at_ms: when a repeat of the key becomes a new call; 0 where
+        the call has no key or its record is still on its way.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    upstream: str = ""
+    n_attempts: int = 0
+    is_replay: bool = False
+    key_expires_at_ms: int = 0
+
+
+@dataclass(frozen=True)
+class CallSettings:
+    """Limits of a routed call."""
+
+    max_attempts: int = 3
+    connect_timeout_s: float = 1.0
+    max_answer_bytes: int = 16_777_216
+
+
+@dataclass
+class CallContext:
+    """What a node's routed calls share.
+
+    :param take_retry: takes one retry off a service's budget, or returns false.
+    :param is_leaving: whether an upstream, by name, takes no new work.
+    :param n_in_flight: this node's running calls by upstream.
+    """
+
+    pool: Pool
+    claims: Claims
+    metrics: Metrics
+    take_retry: Callable[[str], bool]
+    is_leaving: Callable[[str], bool]
+    settings: CallSettings = field(default_factory=CallSettings)
+    clock: Callable[[], float] = clocks.monotonic
+    random: random.Random = field(default_factory=random.Random)
+    n_in_flight: dict[str, int] = field(default_factory=dict)
+
+
+async def run_call(
+    call: ServiceCall, snapshot: Declarations, context: CallContext
+) -> ServiceAnswer:
+    """Run a call and return its answer.
+
+    :raises ApricotliftError: a refusal or failure; its ``ran`` says whether the
+        call ran at an upstream.
+    """
+    try:
+        answer = await _run(call, snapshot, context)
+    except ApricotliftError as error:
+        context.metrics.count(
+            "service_refusals_total", code=error.code, ran=str(error.ran)
+        )
+        raise
+    kind = "replay" if answer.is_replay else f"{answer.status // 100}xx"
+    context.metrics.count("service_answers_total", kind=kind)
+    return answer
+
+
+async def _run(
+    call: ServiceCall, snapshot: Declarations, context: CallContext
+) -> ServiceAnswer:
+    _check_call(call)
+    account = snapshot.accounts.get(call.account)
+    if account is None or call.service not in account.services:
+        # Services of other accounts aren't revealed.
+        message = f"no service named {call.service!r} for this account"
+        raise ApricotliftError(Code.UNKNOWN_SERVICE, message)
+    if call.deadline_at is None:
+        limit_ms = snapshot.get_setting(call.account, "default_deadline_ms")
+        call = replace(call, deadline_at=context.clock() + limit_ms / 1000)
+    if find_repeat(call, snapshot) == "safe":
+        return await _run_safe(call, snapshot, context)
+    _check_key(call.idempotency_key)
+    claim = await context.claims.claim(
+        call.account, call.idempotency_key, _digest_call(call)
+    )
+    if isinstance(claim, Recorded):
+        result = claim.result
+        return ServiceAnswer(
+            result.status,
+            result.headers,
+            result.body,
+            is_replay=True,
+            key_expires_at_ms=claim.expires_at_ms,
+        )
+    try:
+        return await _run_claimed(call, claim, snapshot, context)
+    finally:
+        if claim.state is ClaimState.CONFIRMED:
+            with anyio.CancelScope(shield=True):
+                await context.claims.release(claim)
+
+
+def find_repeat(call: ServiceCall, snapshot: Declarations) -> str:
+    """Return ``safe`` or ``never`` for a call.
+
+    A service may decode the path before it looks at it, so the call is safe only
+    if the path is safe in both forms.
+    """
+    paths = {call.path, unquote(call.path)}
+    found = {snapshot.find_rule(call.service, call.method, path) for path in paths}
+    return "safe" if found == {"safe"} else "never"
+
+
+async def _run_safe(
+    call: ServiceCall, snapshot: Declarations, context: CallContext
+) -> ServiceAnswer:
+    tried: list[str] = []
+    ran = Ran.NO
+    while True:
+        upstream = _choose_upstream(call, snapshot, context, tried)
+        tried.append(upstream.name)
+        is_last = len(tried) >= context.settings.max_attempts
+        try:
+            response = await _send(call, upstream, context, fresh=False)
+        except ApricotliftError as error:
+            ran = Ran.NO if ran is error.ran is Ran.NO else Ran.MAYBE
+            is_final = error.code in (Code.BAD_REQUEST, Code.DEADLINE_EXCEEDED)
+            if is_final or is_last or not _has_other(call, snapshot, context, tried):
+                raise replace(error, ran=ran) from error
+            if not _take_retry(call, context, error.code):
+                raise _refuse_budget(call, error, ran) from error
+            continue
+        can_retry = response.status in _RETRIED_STATUSES and not is_last
+        if can_retry and _has_other(call, snapshot, context, tried):
+            ran = Ran.MAYBE
+            if _take_retry(call, context, f"status_{response.status}"):
+                continue
+        return _build_answer(response, upstream, len(tried))
+
+
+async def _run_claimed(
+    call: ServiceCall, claim: Claim, snapshot: Declarations, context: CallContext
+) -> ServiceAnswer:
+    tried: list[str] = []
+    while True:
+        upstream = _choose_upstream(call, snapshot, context, tried)
+        tried.append(upstream.name)
+        _get_left_s(call, context)
+        context.claims.begin_dispatch(claim)
+        # A caller that goes away must not leave a sent call without its record.
+        with anyio.CancelScope(shield=True):
+            try:
+                response = await _send(call, upstream, context, fresh=True)
+            except ApricotliftError as error:
+                if error.ran is not Ran.NO:
+                    await context.claims.record(claim, UNCLEAR_RESULT)
+                    raise _build_unclear(error) from error
+                context.claims.retract_dispatch(claim)
+                failure = error
+            except BaseException:
+                await context.claims.record(claim, UNCLEAR_RESULT)
+                raise
+            else:
+                answer = _build_answer(response, upstream, len(tried))
+                result = CallResult(answer.status, answer.headers, answer.body)
+                await context.claims.record(claim, result)
+                return replace(answer, key_expires_at_ms=claim.row.expires_at_ms)
+        is_final = failure.code is Code.BAD_REQUEST
+        is_last = len(tried) >= context.settings.max_attempts
+        if is_final or is_last or not _has_other(call, snapshot, context, tried):
+            raise failure
+        if not _take_retry(call, context, failure.code):
+            raise _refuse_budget(call, failure, Ran.NO) from failure
+
+
+async def _send(
+    call: ServiceCall, upstream: Upstream, context: CallContext, fresh: bool
+) -> Response:
+    left_s = _get_left_s(call, context)
+    scheme = "https" if upstream.tls else "http"
+    query = f"?{call.query}" if call.query else ""
+    url = f"{scheme}://{upstream.address}{call.path}{query}"
+    headers = strip_request(call.headers)
+    headers["x-deadline-ms"] = str(max(1, int(left_s * 1000)))
+    if call.idempotency_key:
+        headers["idempotency-key"] = call.idempotency_key
+    connect_s = min(context.settings.connect_timeout_s, left_s)
+    timeouts = Timeouts(connect_s, left_s, left_s)
+    with _count_in_flight(upstream.name, context):
+        with anyio.move_on_after(left_s + _DEADLINE_SLACK_S):
+            return await context.pool.request(
+                call.method,
+                url,
+                headers,
+                call.body,
+                timeouts,
+                context.settings.max_answer_bytes,
+                fresh,
+            )
+        message = f"no answer of {upstream.name} within the deadline"
+        raise ApricotliftError(Code.DEADLINE_EXCEEDED, message, Ran.MAYBE)
+
+
+@contextmanager
+def _count_in_flight(upstream: str, context: CallContext) -> Iterator[None]:
+    context.n_in_flight[upstream] = context.n_in_flight.get(upstream, 0) + 1
+    try:
+        yield
+    finally:
+        context.n_in_flight[upstream] -= 1
+
+
+def _choose_upstream(
+    call: ServiceCall, snapshot: Declarations, context: CallContext, tried: list[str]
+) -> Upstream:
+    """Return the upstream with the fewest calls of this node in flight."""
+    candidates = _list_candidates(call, snapshot, context, tried)
+    if not candidates:
+        message = f"no upstream of service {call.service!r} takes new calls"
+        raise ApricotliftError(
+            Code.NO_UPSTREAM, message, Ran.NO, Scope.UPSTREAM, retry_after_s=1.0
+        )
+    free = [
+        upstream
+        for upstream in candidates
+        if context.n_in_flight.get(upstream.name, 0) < upstream.max_in_flight
+    ]
+    if not free:
+        message = f"all upstreams of service {call.service!r} are at their limit"
+        raise ApricotliftError(
+            Code.UPSTREAM_FULL, message, Ran.NO, Scope.UPSTREAM, retry_after_s=1.0
+        )
+    # Ties are broken at random, so that idle nodes don't all choose the same one.
+    return min(
+        free,
+        key=lambda item: (
+            context.n_in_flight.get(item.name, 0),
+            context.random.random(),
+        ),
+    )
+
+
+def _list_candidates(
+    call: ServiceCall, snapshot: Declarations, context: CallContext, tried: list[str]
+) -> list[Upstream]:
+    return [
+        upstream
+        for upstream in snapshot.upstreams.values()
+        if upstream.kind == "service"
+        and upstream.service == call.service
+        and upstream.name not in tried
+        and not upstream.drain
+        and not context.is_leaving(upstream.name)
+    ]
+
+
+def _has_other(
+    call: ServiceCall, snapshot: Declarations, context: CallContext, tried: list[str]
+) -> bool:
+    return any(
+        context.n_in_flight.get(upstream.name, 0) < upstream.max_in_flight
+        for upstream in _list_candidates(call, snapshot, context, tried)
+    )
+
+
+def _take_retry(call: ServiceCall, context: CallContext, reason: str) -> bool:
+    if not context.take_retry(call.service):
+        context.metrics.count("service_retries_refused_total", reason=reason)
+        return False
+    context.metrics.count("service_retries_total", reason=reason)
+    return True
+
+
+def _refuse_budget(
+    call: ServiceCall, error: ApricotliftError, ran: Ran
+) -> ApricotliftError:
+    message = f"no retry is left for service {call.service!r} after {error}"
+    return ApricotliftError(
+        Code.RETRY_BUDGET_EXHAUSTED, message, ran, Scope.UPSTREAM, retry_after_s=1.0
+    )
+
+
+def _build_unclear(error: ApricotliftError) -> ApricotliftError:
+    code = error.code if error.code is Code.DEADLINE_EXCEEDED else Code.MAY_HAVE_RUN
+    details = {"reason": str(error.code)}
+    return ApricotliftError(code, error.message, Ran.MAYBE, details=details)
+
+
+def _build_answer(
+    response: Response, upstream: Upstream, n_attempts: int
+) -> ServiceAnswer:
+    headers = strip_answer(response.headers)
+    return ServiceAnswer(
+        response.status, headers, response.body, upstream.name, n_attempts
+    )
+
+
+def _digest_call(call: ServiceCall) -> str:
+    return digest(
+        "call",
+        call.service,
+        call.method,
+        call.path,
+        call.query,
+        call.headers.get("content-type", ""),
+        call.body,
+    ).hex()
+
+
+def _get_left_s(call: ServiceCall, context: CallContext) -> float:
+    left_s = call.deadline_at - context.clock()
+    if left_s <= 0:
+        message = "the deadline passed before the call was sent"
+        raise ApricotliftError(Code.DEADLINE_EXCEEDED, message)
+    return left_s
+
+
+def _check_call(call: ServiceCall) -> None:
+    if not _METHOD.fullmatch(call.method):
+        message = f"method {call.method!r}, expected capital letters"
+        raise ApricotliftError(Code.BAD_REQUEST, message)
+    decoded = unquote(call.path)
+    is_plain = decoded.isprintable() and not set(decoded) & set("\\?#")
+    # A dot segment would lead to another path than the one that the rule names.
+    has_dots = any(part in (".", "..") for part in decoded.split("/"))
+    if not call.path.startswith("/") or not is_plain or has_dots:
+        message = f"path {call.path!r}, expected one with '/' and no dot segments"
+        raise ApricotliftError(Code.BAD_REQUEST, message)
+    if not (call.path + call.query).isascii():
+        raise ApricotliftError(Code.BAD_REQUEST, "path and query must be ASCII")
+
+
+def _check_key(key: str) -> None:
+    if not key:
+        message = "this call may not be repeated and needs an idempotency-key"
+        raise ApricotliftError(Code.IDEMPOTENCY_KEY_MISSING, message)
+    if len(key) > MAX_KEY_CHARACTERS or not _KEY.fullmatch(key):
+        message = (
+            f"idempotency-key of {len(key)} characters, expected 1 to "
+            f"{MAX_KEY_CHARACTERS} visible ASCII characters"
+        )
+        raise ApricotliftError(Code.BAD_REQUEST, message)
