Add suspects: requests that crash upstreams

Cause: a request that crashes its engine is repeated on the next one and would crash that too. Conclusion: routing can ask check, list_occupied, begin_run and end_run.

--- /dev/null
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/suspect_steps.py
@@ -0,0 +1,184 @@
+"""Steps about requests that crash upstreams."""
+
+import json
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.from_thread import start_blocking_portal
+from apricotlift.core import clocks
+from apricotlift.core.errors import ApricotliftError
+from apricotlift.core.metrics import Metrics
+from apricotlift.platform import Table
+from apricotlift.state.suspects import QuarantinedRun, Suspects
+from apricotlift.upstreams.pool import Pool
+from behave import given, then, when
+
+from standins.processes import Processes
+
+WAIT_S = 30.0
+
+
+@dataclass
+class SuspectWorld:
+    """Nodes that share a platform stand-in, and what a scenario did with them."""
+
+    portal: object
+    address: str
+    pool: Pool = field(default_factory=Pool)
+    nodes: dict[str, Suspects] = field(default_factory=dict)
+    runs: dict[str, QuarantinedRun | None] = field(default_factory=dict)
+    lost: set[str] = field(default_factory=set)
+    wall_offset_ms: int = 0
+
+    def add_node(self, name: str) -> None:
+        table = Table(f"http://{self.address}", "t", self.pool, Metrics(), 1.0)
+        self.nodes[name] = Suspects(
+            table,
+            Metrics(),
+            name,
+            lambda: "1",
+            lambda node, _: node not in self.lost,
+            get_wall_ms=lambda: clocks.wall_ms() + self.wall_offset_ms,
+        )
+        self.portal.start_task(self.nodes[name].run)
+
+    async def call(self, function, *arguments):
+        return function(*arguments)
+
+    async def begin_all(self, names: list[str], upstream: str) -> None:
+        async def begin(name: str) -> None:
+            run = await self.nodes[name].begin_run(f"fp-{name}", upstream)
+            self.runs[name] = run
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(begin, name)
+
+    async def wait_for(self, holds) -> None:
+        with anyio.fail_after(WAIT_S):
+            while not holds():
+                await anyio.sleep(0.05)
+
+    async def set_faults(self, faults: dict) -> None:
+        body = json.dumps({"table": faults}).encode()
+        await self.pool.request("POST", f"http://{self.address}/faults", body=body)
+
+
+@given('the suspect nodes "{names}"')
+def start_nodes(context, names):
+    fixtures = ExitStack()
+    context.add_cleanup(fixtures.close)
+    processes = fixtures.enter_context(Processes())
+    platform = processes.start_module("platform", "standins.platform")
+    portal = fixtures.enter_context(start_blocking_portal())
+    fixtures.callback(portal.call, portal.stop, True)
+    context.suspect_world = SuspectWorld(portal, platform.get_address())
+    for name in names.split(", "):
+        context.suspect_world.add_node(name)
+
+
+@given("the suspect table is down")
+def stop_table(context):
+    context.suspect_world.portal.call(context.suspect_world.set_faults, {"down": True})
+
+
+@when("the suspect table is back")
+def start_table(context):
+    context.suspect_world.portal.call(context.suspect_world.set_faults, {})
+
+
+@given('the suspect node "{name}" reports "{fingerprint}" for boot "{boot}"')
+@when('the suspect node "{name}" reports "{fingerprint}" for boot "{boot}"')
+def report(context, name, fingerprint, boot):
+    world = context.suspect_world
+    report_crash = world.nodes[name].report_crash
+    world.portal.call(world.call, report_crash, fingerprint, "e1", boot)
+
+
+@when('the suspect node "{name}" hears of "{fingerprint}" for boot "{boot}" as owner')
+def note(context, name, fingerprint, boot):
+    world = context.suspect_world
+    note_crash = world.nodes[name].note_crash
+    world.portal.call(world.call, note_crash, fingerprint, "e1", boot)
+
+
+@when('the suspect node "{name}" clears "{fingerprint}"')
+def clear(context, name, fingerprint):
+    world = context.suspect_world
+    world.portal.call(world.call, world.nodes[name].clear, fingerprint)
+
+
+@when("the suspect wall clock advances {n:d} minutes")
+def advance(context, n):
+    context.suspect_world.wall_offset_ms += n * 60_000
+
+
+@given('the suspect node "{name}" is lost')
+def lose(context, name):
+    context.suspect_world.lost.add(name)
+
+
+@given('the suspect nodes "{names}" reserve upstream "{upstream}" at once')
+@when('the suspect nodes "{names}" reserve upstream "{upstream}" at once')
+def reserve(context, names, upstream):
+    world = context.suspect_world
+    world.portal.call(world.begin_all, names.split(", "), upstream)
+
+
+@when('the suspect run of "{name}" {ending}')
+def end_run(context, name, ending):
+    world = context.suspect_world
+    end = world.nodes[name].end_run
+    world.portal.call(world.call, end, world.runs[name], ending == "completes")
+
+
+@then('the suspect node "{name}" counts {n:d} crashes of "{fingerprint}" at once')
+def check_count(context, name, n, fingerprint):
+    found = context.suspect_world.nodes[name].count_crashes(fingerprint)
+    assert found == n, found
+
+
+@then('the suspect node "{name}" comes to count {n:d} crashes of "{fingerprint}"')
+def wait_for_count(context, name, n, fingerprint):
+    world = context.suspect_world
+    node = world.nodes[name]
+    world.portal.call(world.wait_for, lambda: node.count_crashes(fingerprint) == n)
+
+
+@then('the suspect node "{name}" {answer} "{fingerprint}"')
+def check_answer(context, name, answer, fingerprint):
+    check_with_owner(context, name, answer, fingerprint, 0)
+
+
+@then('the suspect "{fingerprint}" is at "{name}" {answer} with {n:d} owner crashes')
+def check_with_owner(context, name, answer, fingerprint, n):
+    try:
+        is_suspect = context.suspect_world.nodes[name].check(fingerprint, n)
+        found = "quarantines" if is_suspect else "admits"
+    except ApricotliftError as error:
+        assert str(error.ran) == "maybe", error
+        found = "refuses"
+    assert found == answer, found
+
+
+@then("{n:d} suspect runs were reserved")
+def check_runs(context, n):
+    found = [name for name, run in context.suspect_world.runs.items() if run]
+    assert len(found) == n, found
+
+
+@then('the suspect node "{name}" comes to see "{upstream}" as {state}')
+def wait_for_upstream(context, name, upstream, state):
+    world = context.suspect_world
+    node = world.nodes[name]
+    wanted = state == "occupied"
+    world.portal.call(
+        world.wait_for, lambda: (upstream in node.list_occupied()) == wanted
+    )
+
+
+@given("the suspect table drops the answer of the next write")
+def drop_answer(context):
+    world = context.suspect_world
+    world.portal.call(world.set_faults, {"n_drop_after": 1})
