Widen the stand-in engine to the whole engine interface

Cause: the request path, transfers and orders need an engine with a batch, a prefix cache, cache events, KV transfers and orders to be tested against. Change: prefill queue by priority and a decode loop whose interval grows with the batch; prefix cache by salt and digest with LRU eviction; late, missing and repeated cache events; KV export and import; orders with fencing and a load limit that engines can share; faults and ground truth. A cut reply now closes the connection without sending headers.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,72 +5,89 @@
 ``python -m standins.engine --name e1 --slots wax@v1``.
 """
 
-import hashlib
 import json
+import os
 import random
 import uuid
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import defopt
-from apricotlift.core import logs
-
+from apricotlift.core import clocks, logs
+from apricotlift.upstreams.pool import Pool
+
+from standins.enginebatch import (
+    CRASH_EXIT_CODE,
+    Batch,
+    BatchSettings,
+    Stream,
+    build_answer,
+    count_tokens,
+)
+from standins.enginecache import EventLog, PrefixCache
+from standins.enginekv import export_blocks, import_blocks
+from standins.engineorders import Weights, WeightStore
 from standins.http import Reply, Request, Streaming, bind, build_app, build_json_reply
 from standins.http import serve as serve_http
 
-_WORDS = ("wax", "fold", "chain", "sheet", "dust", "map", "rain", "north", "link")
-
+__all__ = ["build_answer"]
 
-def build_answer(prompt: str, seed: int, n_tokens: int) -> list[str]:
-    """Return the tokens of the answer to a prompt.
-
-    The first token carries a digest of the prompt, so that a crossed answer shows.
-    """
-    head = hashlib.sha256(prompt.encode()).hexdigest()[:12]
-    source = random.Random(f"{head}.{seed}")
-    tokens = [f"[{head}]"]
-    tokens += [f" {source.choice(_WORDS)}" for _ in range(n_tokens - 1)]
-    return tokens[:n_tokens]
-
-
-@dataclass
-class Stream:
-    """An attempt, running or finished."""
-
-    attempt_id: str
-    slot: str
-    weight_version: str
-    prompt: str
-    text: str = ""
-    n_tokens: int = 0
-    finished: bool = False
-    cancelled: bool = False
-    changed: anyio.Event = field(default_factory=anyio.Event)
-
-    def append(self, token: str) -> None:
-        """Add a token and wake the readers."""
-        self.text += token
-        self.n_tokens += 1
-        self.wake()
-
-    def wake(self) -> None:
-        """Wake the readers."""
-        self.changed.set()
-        self.changed = anyio.Event()
+MAX_POLL_S = 30.0
+_SWEEP_S = 0.2
+_FOREIGN_ATTEMPT = "0" * 24
 
 
 @dataclass
 class Faults:
-    """Faults that ``POST /faults`` switches.
-
-    :param break_after: close each new stream after so many tokens; 0 is off.
+    """Faults that ``POST /faults`` switches; a field that isn't given is off.
+
+    :param break_after: close each new stream after so many events; 0 is off.
+    :param break_before_headers: drop the answer to a prompt after it was queued.
+    :param foreign_events: send an event of another attempt before each own one.
+    :param foreign_headers: name another attempt in the headers.
+    :param wrong_version: report another weight version.
+    :param duplicate_every: send each so-many-th event twice.
+    :param skip_every: leave out each so-many-th event.
+    :param state: ``serving``, ``draining`` or ``full``.
+    :param token_s: token interval instead of the option's.
+    :param prefill_s_per_token: prefill cost instead of the option's.
+    :param answer_delay_s: wait before the headers of each answer.
+    :param crash_marker: exit at once on a prompt that contains this text.
+    :param crash_after_tokens: exit only after so many tokens of such a prompt.
+    :param event_delay_s: publish cache events late, by up to so much.
+    :param event_gap_every: lose each so-many-th cache event.
+    :param event_duplicate_every: send each so-many-th cache event twice.
+    :param load_lag_s: refresh the load report only so often.
+    :param orders_fail: refuse orders with 500 before they take effect.
+    :param order_answers_lost: drop the answer of an order after it took effect.
+    :param import_unchecked: keep imported blocks without checking them.
     """
 
     break_after: int = 0
+    break_before_headers: bool = False
     foreign_events: bool = False
+    foreign_headers: bool = False
     wrong_version: bool = False
+    duplicate_every: int = 0
+    skip_every: int = 0
     state: str = "serving"
     token_s: float | None = None
+    prefill_s_per_token: float | None = None
+    answer_delay_s: float = 0.0
+    crash_marker: str = ""
+    crash_after_tokens: int = 0
+    event_delay_s: float = 0.0
+    event_gap_every: int = 0
+    event_duplicate_every: int = 0
+    load_lag_s: float = 0.0
+    orders_fail: bool = False
+    order_answers_lost: bool = False
+    import_unchecked: bool = False
+
+    @property
+    def header_state(self) -> str:
+        """Return the state that headers and ``/health`` show."""
+        return "draining" if self.state == "draining" else "serving"
 
 
 @dataclass
@@ -78,113 +95,221 @@
     """The state of one engine process."""
 
     name: str
-    slots: dict[str, str]
-    token_s: float
-    prefill_s_per_token: float
+    weights: Weights
+    events: EventLog
+    cache: PrefixCache
+    pool: Pool
+    block_bytes: int
+    retention_s: float
+    initial_faults: Faults
+    settings: BatchSettings
     boot_id: str = field(default_factory=lambda: uuid.uuid4().hex)
     streams: dict[str, Stream] = field(default_factory=dict)
-    faults: Faults = field(default_factory=Faults)
     ran: list[dict] = field(default_factory=list)
+    load_report: dict = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.batch = Batch(self.settings, self.cache, self.get_speeds)
+        self.switch_faults({})
+
+    def get_speeds(self) -> tuple[float, float]:
+        """Return token interval and seconds a prefilled token."""
+        token_s = self.faults.token_s
+        prefill_s = self.faults.prefill_s_per_token
+        return (
+            self.settings.token_s if token_s is None else token_s,
+            self.settings.prefill_s_per_token if prefill_s is None else prefill_s,
+        )
+
+    def switch_faults(self, data: dict) -> None:
+        """Replace all faults; those that aren't given return to the options'."""
+        self.faults = replace(self.initial_faults, **data)
+        self.events.delay_s = self.faults.event_delay_s
+        self.events.gap_every = self.faults.event_gap_every
+        self.events.duplicate_every = self.faults.event_duplicate_every
+
+    def get_load(self) -> dict:
+        """Return the load report, which may be old."""
+        now_ms = clocks.wall_ms()
+        age_ms = now_ms - self.load_report.get("as_of_ms", 0)
+        if age_ms >= self.faults.load_lag_s * 1000:
+            self.load_report = {
+                "boot_id": self.boot_id,
+                "running": len(self.batch.running),
+                "waiting": len(self.batch.waiting),
+                "waiting_prompt_tokens": self.batch.waiting_prompt_tokens,
+                "kv_blocks_used": len(self.cache),
+                "kv_blocks_total": self.cache.capacity,
+                "as_of_ms": now_ms,
+            }
+        return self.load_report
+
+    def get_health(self) -> dict:
+        """Return state, role, loaded slots and loads in progress."""
+        slots = {
+            slot: {
+                "model": slot.split("@")[0],
+                "weight_version": version,
+                "running": self.batch.count_slot(slot),
+            }
+            for slot, version in self.weights.slots.items()
+        }
+        return {
+            "boot_id": self.boot_id,
+            "state": self.faults.header_state,
+            "role": self.weights.role,
+            "slots": slots,
+            "loading": sorted(self.weights.loading),
+        }
+
+    def get_truth(self) -> dict:
+        """Return what happened, for checkers."""
+        return {
+            "boot_id": self.boot_id,
+            "ran": self.ran,
+            "orders": self.weights.orders,
+            "loads": self.weights.loads,
+        }
 
 
 async def handle(engine: Engine, tasks, request: Request, out: Streaming):
     """Answer one request."""
+    reply = await _dispatch(engine, tasks, request, out)
+    call_id = request.headers.get("x-call-id")
+    if reply is not None and call_id:
+        reply.headers["x-call-id"] = call_id
+    return reply
+
+
+async def _dispatch(engine: Engine, tasks, request: Request, out: Streaming):
     path = request.path
     if path == "/v1/completions":
-        return await _complete(engine, tasks, request, out)
+        return await _complete(engine, request, out)
     if path == "/v1/streams":
         return _find_streams(engine, request.query.get("prefix", ""))
     if path.startswith("/v1/streams/"):
         return await _stream(engine, request, out)
     if path == "/health":
-        slots = {
-            slot: {"model": slot.split("@")[0], "weight_version": version}
-            for slot, version in engine.slots.items()
-        }
-        return build_json_reply(
-            {
-                "boot_id": engine.boot_id,
-                "state": engine.faults.state,
-                "role": "mixed",
-                "slots": slots,
-            }
-        )
+        return build_json_reply(engine.get_health())
     if path == "/load":
-        running = sum(not stream.finished for stream in engine.streams.values())
+        return build_json_reply(engine.get_load())
+    if path == "/orders":
+        return _order(engine, request.read_json(), tasks)
+    if path == "/kv/events":
+        return await _poll_events(engine, request.query)
+    if path == "/kv/export":
+        outcomes = await export_blocks(
+            engine.cache, engine.pool, request.read_json(), engine.block_bytes
+        )
+        return build_json_reply({"blocks": outcomes})
+    if path == "/kv/import":
+        unchecked = engine.faults.import_unchecked
+        data = request.read_json()
         return build_json_reply(
-            {
-                "boot_id": engine.boot_id,
-                "running": running,
-                "waiting": 0,
-                "waiting_prompt_tokens": 0,
-                "kv_blocks_used": 0,
-                "kv_blocks_total": 1000,
-                "as_of_ms": 0,
-            }
+            await import_blocks(engine.cache, engine.pool, data, unchecked)
         )
-    if path == "/faults":
-        engine.faults = Faults(**request.read_json())
+    if path == "/kv/clear":
+        engine.cache.clear()
         return build_json_reply({})
+    if path == "/faults":
+        return _switch_faults(engine, request)
     if path == "/truth":
-        return build_json_reply({"ran": engine.ran})
+        return build_json_reply(engine.get_truth())
     return _refuse(404, "not_found")
 
 
-async def _complete(engine: Engine, tasks, request: Request, out: Streaming):
+def _switch_faults(engine: Engine, request: Request) -> Reply:
+    try:
+        engine.switch_faults(request.read_json())
+    except TypeError as error:
+        return build_json_reply({"error": str(error)}, 400)
+    return build_json_reply({})
+
+
+def _order(engine: Engine, data: dict, tasks) -> Reply:
+    if engine.faults.orders_fail:
+        return _refuse(500, "order_failed")
+    status, body = engine.weights.receive(data, tasks)
+    reply = build_json_reply(body, status)
+    return replace(reply, cut=engine.faults.order_answers_lost)
+
+
+async def _poll_events(engine: Engine, query: dict[str, str]) -> Reply:
+    after = int(query.get("after", "0"))
+    deadline = clocks.monotonic() + min(float(query.get("wait_s", "5")), MAX_POLL_S)
+    found = engine.events.read(after)
+    while not found and clocks.monotonic() < deadline:
+        await engine.events.wait(deadline - clocks.monotonic())
+        found = engine.events.read(after)
+    first_seq = engine.events.first_seq
+    return build_json_reply(
+        {"boot_id": engine.boot_id, "first_seq": first_seq, "events": found}
+    )
+
+
+async def _complete(engine: Engine, request: Request, out: Streaming):
     data = request.read_json()
     slot = data["model"]
-    if slot not in engine.slots:
-        return _refuse(404, "model_not_found")
-    if engine.faults.state != "serving":
-        return _refuse(503, "draining")
     attempt_id = data["request_id"]
-    version = "other" if engine.faults.wrong_version else engine.slots[slot]
+    faults = engine.faults
+    refusal = _find_refusal(engine, slot, attempt_id)
+    if refusal is not None:
+        refusal.headers["x-attempt-id"] = attempt_id
+        return refusal
+    truth = {
+        "attempt_id": attempt_id,
+        "slot": slot,
+        "salt": data["cache_salt"],
+        "cached": [],
+    }
+    engine.ran.append(truth)
+    crashes = bool(faults.crash_marker) and faults.crash_marker in data["prompt"]
+    if crashes and not faults.crash_after_tokens:
+        os._exit(CRASH_EXIT_CODE)
+    version = "other" if faults.wrong_version else engine.weights.slots[slot]
     continued = data.get("continue_text", "")
     stream = Stream(attempt_id, slot, version, data["prompt"], continued)
     engine.streams[attempt_id] = stream
-    engine.ran.append(
-        {"attempt_id": attempt_id, "slot": slot, "salt": data["cache_salt"]}
-    )
-    tasks.start_soon(_generate, engine, stream, data)
+    job = engine.batch.submit(stream, data, truth)
+    if crashes:
+        job.crash_after = faults.crash_after_tokens
+    if faults.break_before_headers:
+        return Reply(cut=True)
     return await _send_stream(engine, stream, len(continued), out)
 
 
-async def _generate(engine: Engine, stream: Stream, data: dict) -> None:
-    n_prompt_tokens = len(stream.prompt.encode()) // 4
-    await anyio.sleep(n_prompt_tokens * engine.prefill_s_per_token)
-    tokens = build_answer(stream.prompt, data.get("seed", 0), data["max_tokens"])
-    n_done = _count_done(tokens, stream.text)
-    for token in tokens[n_done:]:
-        token_s = engine.faults.token_s
-        await anyio.sleep(engine.token_s if token_s is None else token_s)
-        if stream.cancelled:
-            return
-        stream.append(token)
-    stream.finished = True
-    stream.wake()
-
-
-def _count_done(tokens: list[str], text: str) -> int:
-    n_characters = 0
-    for index, token in enumerate(tokens):
-        if n_characters >= len(text):
-            return index
-        n_characters += len(token)
-    return len(tokens)
+def _find_refusal(engine: Engine, slot: str, attempt_id: str) -> Reply | None:
+    if engine.faults.state == "draining":
+        return _refuse(503, "draining")
+    if engine.faults.state == "full" or engine.batch.is_full:
+        return _refuse(503, "full")
+    if slot not in engine.weights.slots:
+        return _refuse(404, "model_not_found")
+    if attempt_id in engine.streams:
+        return _refuse(409, "attempt_exists")
+    return None
 
 
 async def _stream(engine: Engine, request: Request, out: Streaming):
     attempt_id = request.path.rpartition("/")[2]
     stream = engine.streams.get(attempt_id)
     if stream is None:
-        return _refuse(404, "stream_not_found")
+        reply = _refuse(404, "stream_not_found")
+        reply.headers["x-attempt-id"] = attempt_id
+        return reply
     if request.method == "DELETE":
-        stream.cancelled = True
-        stream.wake()
-        return build_json_reply({})
+        _cancel(engine, stream)
+        return build_json_reply({}, x_attempt_id=attempt_id)
     return await _send_stream(engine, stream, int(request.query["offset"]), out)
 
 
+def _cancel(engine: Engine, stream: Stream) -> None:
+    stream.cancelled = True
+    engine.batch.cancel(stream)
+    engine.streams.pop(stream.attempt_id, None)
+    stream.wake()
+
+
 def _find_streams(engine: Engine, prefix: str) -> Reply:
     streams = [
         {
@@ -194,48 +319,60 @@
             "finished": stream.finished,
         }
         for stream in engine.streams.values()
-        if stream.attempt_id.startswith(prefix) and not stream.cancelled
+        if stream.attempt_id.startswith(prefix)
     ]
     return build_json_reply({"streams": streams})
 
 
 async def _send_stream(engine: Engine, stream: Stream, offset: int, out: Streaming):
+    faults = engine.faults
+    await anyio.sleep(faults.answer_delay_s)
+    foreign = faults.foreign_headers
     await out.start(
         200,
         {
             "content-type": "text/event-stream",
             "x-boot-id": engine.boot_id,
             "x-weight-version": stream.weight_version,
-            "x-attempt-id": stream.attempt_id,
-            "x-engine-state": engine.faults.state,
+            "x-attempt-id": _FOREIGN_ATTEMPT if foreign else stream.attempt_id,
+            "x-engine-state": faults.header_state,
         },
     )
     n_events = 0
     while not stream.cancelled:
         changed = stream.changed
         if len(stream.text) > offset:
-            text = stream.text[offset:]
-            if engine.faults.foreign_events:
-                await out.write(_format("0" * 24, offset, "not yours", None, None))
-            await out.write(_format(stream.attempt_id, offset, text, None, None))
-            offset = len(stream.text)
             n_events += 1
-            if engine.faults.break_after and n_events >= engine.faults.break_after:
-                raise ConnectionResetError("the stream is broken on purpose")
+            data = _format(stream.attempt_id, offset, stream.text[offset:], None, None)
+            offset = len(stream.text)
+            await _send_event(engine.faults, n_events, data, out)
             continue
         if stream.finished:
             usage = {
-                "prompt_tokens": len(stream.prompt.encode()) // 4,
+                "prompt_tokens": count_tokens(stream.prompt),
                 "completion_tokens": stream.n_tokens,
-                "cached_tokens": 0,
+                "cached_tokens": stream.n_cached_tokens,
             }
             await out.write(_format(stream.attempt_id, offset, "", "stop", usage))
             await out.write(b"data: [DONE]\n\n")
             break
         await changed.wait()
+    if stream.cancelled:
+        raise ConnectionResetError("the stream was cancelled")
     await out.finish()
 
 
+async def _send_event(faults: Faults, number: int, data: bytes, out: Streaming) -> None:
+    if faults.foreign_events:
+        await out.write(_format(_FOREIGN_ATTEMPT, 0, "not yours", None, None))
+    if not faults.skip_every or number % faults.skip_every:
+        await out.write(data)
+    if faults.duplicate_every and number % faults.duplicate_every == 0:
+        await out.write(data)
+    if faults.break_after and number >= faults.break_after:
+        raise ConnectionResetError("the stream is broken on purpose")
+
+
 def _format(attempt_id, offset, text, finish_reason, usage) -> bytes:
     data = {
         "attempt_id": attempt_id,
@@ -250,6 +387,16 @@
     return build_json_reply({"error": {"code": code}}, status)
 
 
+async def _sweep(engine: Engine) -> None:
+    """Drop finished streams whose retention period has ended."""
+    while True:
+        await anyio.sleep(_SWEEP_S)
+        limit = clocks.monotonic() - engine.retention_s
+        for attempt_id, stream in list(engine.streams.items()):
+            if stream.finished and stream.ended_at < limit:
+                del engine.streams[attempt_id]
+
+
 def main(
     *,
     name: str = "engine",
@@ -257,25 +404,78 @@
     slots: str = "wax@v1",
     token_s: float = 0.01,
     prefill_s_per_token: float = 0.0,
+    batch_growth: float = 0.02,
+    max_running: int = 64,
+    max_waiting: int = 1024,
+    chunk_tokens: int = 1000,
+    kv_blocks: int = 1000,
+    block_bytes: int = 65536,
+    load_s: float = 0.5,
+    weight_store: str = "",
+    fencing: str = "checked",
+    role: str = "mixed",
+    retention_s: float = 600.0,
+    crash_marker: str = "",
+    seed: int = 0,
 ) -> None:
     """Run a stand-in engine.
 
     :param name: name in its logs
     :param address: where it listens
     :param slots: comma-separated MODEL@VERSION
-    :param token_s: seconds a token
-    :param prefill_s_per_token: seconds a prompt token
+    :param token_s: seconds a token in a batch of one
+    :param prefill_s_per_token: seconds a prompt token that is not cached
+    :param batch_growth: relative growth of the token interval for each further job
+    :param max_running: largest batch
+    :param max_waiting: longest prefill queue; beyond it the engine is full
+    :param chunk_tokens: tokens of a cache block
+    :param kv_blocks: blocks that the prefix cache holds
+    :param block_bytes: size of an exported block
+    :param load_s: seconds of a weight load while at most two run
+    :param weight_store: folder through which engines share the load limit
+    :param fencing: checked or ignored
+    :param role: mixed, prefill or decode
+    :param retention_s: how long a finished stream is kept
+    :param crash_marker: the process exits on a prompt that contains this text
+    :param seed: of the delays of cache events
     """
     logs.configure(name)
+    if fencing not in ("checked", "ignored"):
+        raise SystemExit(f"fencing: expected checked or ignored, got {fencing!r}")
     loaded = {slot: slot.split("@")[1] for slot in slots.split(",") if slot}
-    engine = Engine(name, loaded, token_s, prefill_s_per_token)
+    weights = Weights(
+        loaded, role, fencing == "checked", load_s, WeightStore(weight_store)
+    )
+    settings = BatchSettings(
+        token_s,
+        prefill_s_per_token,
+        batch_growth,
+        max_running,
+        max_waiting,
+        chunk_tokens,
+    )
 
     async def run() -> None:
-        async with anyio.create_task_group() as tasks:
+        events = EventLog(random.Random(seed))
+        async with Pool() as pool, anyio.create_task_group() as tasks:
+            engine = Engine(
+                name,
+                weights,
+                events,
+                PrefixCache(kv_blocks, events),
+                pool,
+                block_bytes,
+                retention_s,
+                Faults(crash_marker=crash_marker),
+                settings,
+            )
 
             async def answer(request: Request, out: Streaming):
                 return await handle(engine, tasks, request, out)
 
+            tasks.start_soon(engine.batch.prefill)
+            tasks.start_soon(engine.batch.decode)
+            tasks.start_soon(_sweep, engine)
             await serve_http(build_app(answer), bind(address), name)
             tasks.cancel_scope.cancel()
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -113,11 +113,11 @@
         if reply is None:
             return
         if reply.cut:
-            # An exception before the response starts makes uvicorn close the
-            # connection; announcing a body that never comes does so for clients.
-            await streaming.start(200, {"content-length": "1000000"})
-            await streaming.write(b"")
-            raise ConnectionResetError("the reply is dropped on purpose")
+            # ASGI has no way to end a connection without a response, so the
+            # transport behind uvicorn's send callable is closed.
+            send.__self__.transport.abort()
+            await receive()
+            return
         reply_headers = {"content-length": str(len(reply.body)), **reply.headers}
         await streaming.start(reply.status, reply_headers)
         await send({"type": "http.response.body", "body": reply.body})
