--- /dev/null
+++ b/standins/kvstore.py
@@ -0,0 +1,306 @@
+"""Stand-in for a KV store: blocks in a memory and a disk tier behind one link.
+
+Both tiers are kept in memory; their sizes and speeds are simulated. Run as
+``python -m standins.kvstore --name s1 --memory-bytes 1000000``.
+"""
+
+import base64
+import hashlib
+import itertools
+import uuid
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import anyio
+import defopt
+from apricotlift.core import clocks, logs
+
+from standins.http import Reply, Request, Streaming, bind, build_app, build_json_reply
+from standins.http import serve as serve_http
+
+_PIECE_BYTES = 65_536
+#: XORed into a byte of a corrupted block.
+_CORRUPTION = 0x55
+
+
+@dataclass
+class Faults:
+    """Faults that ``POST /faults`` switches; a field that isn't given is off.
+
+    :param full: refuse all new blocks with 507.
+    :param unavailable: answer 503 to everything on ``/blocks`` and ``/usage``.
+    :param delay_s: wait before each answer.
+    :param link_bytes_per_s: rate of the link instead of the option's.
+    :param corrupt_every: flip a byte in each so-many-th block that is read.
+    :param truncate_every: cut each so-many-th block that is read in half.
+    :param ignore_match: serve a block although ``If-Match`` names another
+        generation.
+    """
+
+    full: bool = False
+    unavailable: bool = False
+    delay_s: float = 0.0
+    link_bytes_per_s: float | None = None
+    corrupt_every: int = 0
+    truncate_every: int = 0
+    ignore_match: bool = False
+
+
+@dataclass
+class Block:
+    """A stored block.
+
+    :param digest: SHA-256 that the store reports.
+    """
+
+    body: bytes
+    digest: bytes
+    generation: str
+    on_disk: bool = False
+
+
+class Link:
+    """Shares a rate between the transfers that run at the same time."""
+
+    def __init__(self, bytes_per_s: float):
+        self.bytes_per_s = bytes_per_s
+        self.n_bytes = 0
+        self._free_at = 0.0
+
+    async def carry(self, n_bytes: int) -> None:
+        """Wait until the link has carried so many more bytes."""
+        self.n_bytes += n_bytes
+        now = clocks.monotonic()
+        self._free_at = max(now, self._free_at) + n_bytes / self.bytes_per_s
+        await anyio.sleep(self._free_at - now)
+
+
+@dataclass
+class Store:
+    """The state of one store process."""
+
+    memory_bytes: int
+    disk_bytes: int
+    disk_delay_s: float
+    link: Link
+    link_bytes_per_s: float
+    boot_id: str = field(default_factory=lambda: uuid.uuid4().hex)
+    blocks: OrderedDict[str, Block] = field(default_factory=OrderedDict)
+    faults: Faults = field(default_factory=Faults)
+    generations: itertools.count = field(default_factory=itertools.count)
+    n_reads: int = 0
+    truth: list[dict] = field(default_factory=list)
+
+    def build_generation(self) -> str:
+        """Return a generation that no block of any boot has had."""
+        return f"{self.boot_id[:12]}-{next(self.generations)}"
+
+    def measure(self, on_disk: bool) -> int:
+        """Return the bytes in use on a tier."""
+        return sum(
+            len(block.body)
+            for block in self.blocks.values()
+            if block.on_disk is on_disk
+        )
+
+    def has_room(self, size: int) -> bool:
+        """Whether a block of this size fits."""
+        used = self.measure(False) + self.measure(True)
+        return not self.faults.full and used + size <= self.capacity_bytes
+
+    @property
+    def capacity_bytes(self) -> int:
+        """Bytes of both tiers."""
+        return self.memory_bytes + self.disk_bytes
+
+    def keep(self, block_id: str, body: bytes) -> Block:
+        """Make a block visible and move the least recently used ones to disk."""
+        digest = hashlib.sha256(body).digest()
+        block = Block(body, digest, self.build_generation())
+        self.blocks.pop(block_id, None)
+        self.blocks[block_id] = block
+        in_memory = self.measure(False)
+        for item in self.blocks.values():
+            if in_memory <= self.memory_bytes:
+                break
+            if not item.on_disk:
+                item.on_disk = True
+                in_memory -= len(item.body)
+        return block
+
+    def lose_everything(self) -> None:
+        """Behave like a store that was restarted empty."""
+        self.blocks.clear()
+        self.boot_id = uuid.uuid4().hex
+
+
+async def handle(store: Store, request: Request, out: Streaming):
+    """Answer one request."""
+    reply = await _dispatch(store, request, out)
+    call_id = request.headers.get("x-call-id")
+    if reply is not None and call_id:
+        reply.headers["x-call-id"] = call_id
+    return reply
+
+
+async def _dispatch(store: Store, request: Request, out: Streaming):
+    if request.path == "/faults":
+        return _switch_faults(store, request)
+    if request.path == "/truth":
+        return build_json_reply(
+            {"operations": store.truth, "link_bytes": store.link.n_bytes}
+        )
+    await anyio.sleep(store.faults.delay_s)
+    if store.faults.unavailable:
+        return build_json_reply({"error": {"code": "unavailable"}}, 503)
+    if request.path == "/usage":
+        return build_json_reply(
+            {
+                "boot_id": store.boot_id,
+                "memory_bytes": store.measure(False),
+                "disk_bytes": store.measure(True),
+                "capacity_bytes": store.capacity_bytes,
+            }
+        )
+    _, _, block_id = request.path.partition("/blocks/")
+    if not block_id:
+        return Reply(404)
+    if request.method == "PUT":
+        return await _put(store, block_id, request)
+    block = store.blocks.get(block_id)
+    if block is None:
+        return Reply(404)
+    wanted = request.headers.get("if-match", "").strip('"')
+    if wanted and wanted != block.generation and not store.faults.ignore_match:
+        return Reply(412)
+    if request.method == "DELETE":
+        del store.blocks[block_id]
+        store.truth.append({"operation": "delete", "block": block_id})
+        return Reply(204)
+    if request.method == "HEAD":
+        await _send_head(block, request, out)
+        return None
+    return await _get(store, block_id, block, request, out)
+
+
+def _switch_faults(store: Store, request: Request) -> Reply:
+    data = request.read_json()
+    # Three faults are single events rather than states.
+    lose = data.pop("lose_everything", False)
+    reused = data.pop("reuse", [])
+    corrupted = data.pop("corrupt", [])
+    try:
+        store.faults = Faults(**data)
+    except TypeError as error:
+        return build_json_reply({"error": str(error)}, 400)
+    rate = store.faults.link_bytes_per_s
+    store.link.bytes_per_s = store.link_bytes_per_s if rate is None else rate
+    if lose:
+        store.lose_everything()
+    for block_id in reused:
+        if block_id in store.blocks:
+            store.keep(block_id, store.blocks[block_id].body[::-1])
+    for block_id in corrupted:
+        if block_id in store.blocks:
+            block = store.blocks[block_id]
+            block.body = _corrupt(block.body)
+    return build_json_reply({})
+
+
+async def _put(store: Store, block_id: str, request: Request) -> Reply:
+    body = request.body
+    await store.link.carry(len(body))
+    given = request.headers.get("content-digest", "")
+    value = base64.b64encode(hashlib.sha256(body).digest()).decode()
+    if given != f"sha-256=:{value}:":
+        return build_json_reply({"error": {"code": "digest_mismatch"}}, 400)
+    freed = store.blocks.get(block_id)
+    if not store.has_room(len(body) - (len(freed.body) if freed else 0)):
+        return build_json_reply({"error": {"code": "full"}}, 507)
+    block = store.keep(block_id, body)
+    store.truth.append(
+        {"operation": "put", "block": block_id, "generation": block.generation}
+    )
+    return Reply(201, headers={"etag": f'"{block.generation}"'})
+
+
+def _build_headers(block: Block, request: Request) -> dict[str, str]:
+    value = base64.b64encode(block.digest).decode()
+    headers = {
+        "etag": f'"{block.generation}"',
+        "content-digest": f"sha-256=:{value}:",
+        "content-length": str(len(block.body)),
+    }
+    if "x-call-id" in request.headers:
+        headers["x-call-id"] = request.headers["x-call-id"]
+    return headers
+
+
+async def _send_head(block: Block, request: Request, out: Streaming) -> None:
+    await out.start(200, _build_headers(block, request))
+    await out.finish()
+
+
+async def _get(
+    store: Store, block_id: str, block: Block, request: Request, out: Streaming
+) -> None:
+    store.n_reads += 1
+    faults = store.faults
+    body = block.body
+    if faults.corrupt_every and store.n_reads % faults.corrupt_every == 0:
+        body = _corrupt(body)
+    length = len(body)
+    if faults.truncate_every and store.n_reads % faults.truncate_every == 0:
+        length //= 2
+    if block.on_disk:
+        await anyio.sleep(store.disk_delay_s)
+    if block_id in store.blocks:
+        store.blocks.move_to_end(block_id)
+    store.truth.append(
+        {"operation": "get", "block": block_id, "generation": block.generation}
+    )
+    await out.start(200, _build_headers(block, request))
+    for start in range(0, length, _PIECE_BYTES):
+        piece = body[start : min(start + _PIECE_BYTES, length)]
+        await store.link.carry(len(piece))
+        await out.write(piece)
+    if length < len(body):
+        raise ConnectionResetError("the block is truncated on purpose")
+    await out.finish()
+
+
+def _corrupt(body: bytes) -> bytes:
+    middle = len(body) // 2
+    return body[:middle] + bytes([body[middle] ^ _CORRUPTION]) + body[middle + 1 :]
+
+
+def main(
+    *,
+    name: str = "store",
+    address: str = "127.0.0.1:0",
+    memory_bytes: int = 16_777_216,
+    disk_bytes: int = 67_108_864,
+    disk_delay_s: float = 0.005,
+    link_bytes_per_s: float = 1.25e9,
+) -> None:
+    """Run a stand-in KV store.
+
+    :param name: name in its logs
+    :param address: where it listens
+    :param memory_bytes: size of the memory tier
+    :param disk_bytes: size of the disk tier
+    :param disk_delay_s: extra delay of a read from the disk tier
+    :param link_bytes_per_s: rate that all transfers share
+    """
+    logs.configure(name)
+    link = Link(link_bytes_per_s)
+    store = Store(memory_bytes, disk_bytes, disk_delay_s, link, link_bytes_per_s)
+
+    async def answer(request: Request, out: Streaming):
+        return await handle(store, request, out)
+
+    anyio.run(serve_http, build_app(answer), bind(address), name)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
