Check that refusals and control answers belong to the asked call

Cause: a crossed refusal was read as one's own, so a request that ran could be reported as not run; control answers were not checked at all. A stream was left unread after its end mark, which closed its connection. Change: the engine client compares x-attempt-id on refusals too, sends x-call-id with control calls and refuses an answer that echoes another id, reads a stream to its end, and reads running attempts and loads in progress from /health. The stand-in echoes both ids and has its faults in a module of its own. Conclusion: crossed answers of engines are seen from their headers.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
@@ -2,14 +2,17 @@
 
 The engine names each attempt in its headers and in every event, and counts the
 characters it has generated. The client checks both, so that a late or crossed
-answer never reaches another caller.
+answer never reaches another caller. Other calls carry an ``x-call-id`` header, and
+an answer that echoes another call's id is refused.
 """
 
 import json
+import secrets
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+import anyio
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.core.metrics import Metrics
 from apricotlift.upstreams.pool import Pool, Response, ResponseStream, Timeouts
@@ -18,6 +21,12 @@
 DONE = "[DONE]"
 CONTROL_TIMEOUTS = Timeouts(connect_s=1.0, read_s=2.0, write_s=2.0)
 _MAX_ERROR_BYTES = 65_536
+_MAX_BODY_BYTES = 4_194_304
+
+# A connection can be used again only when its response was read to the end, which
+# follows the end mark at once. An engine that leaves it open must not hold up the
+# caller for longer than this.
+_DRAIN_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -79,7 +88,8 @@
         :raises ApricotliftError: ``stream_broken`` when the stream ends without
             its end mark, ``upstream_protocol`` when an event can't be read.
         """
-        async for data in self.response.iterate():
+        pieces = self.response.iterate()
+        async for data in pieces:
             chunks = []
             for event in self._parser.feed(data):
                 if event.data == DONE:
@@ -91,6 +101,7 @@
             if chunks:
                 yield chunks
             if self.is_done:
+                await _drain(pieces)
                 return
         raise ApricotliftError(
             Code.STREAM_BROKEN,
@@ -122,6 +133,16 @@
         return chunk
 
 
+async def _drain(pieces: AsyncIterator[bytes]) -> None:
+    with anyio.move_on_after(_DRAIN_S):
+        try:
+            async for _ in pieces:
+                pass
+        except ApricotliftError:
+            # The text is complete; only the connection is lost.
+            return
+
+
 @dataclass(frozen=True)
 class KeptStream:
     """A stream that an engine still holds."""
@@ -137,12 +158,18 @@
     """What ``GET /health`` tells.
 
     :param slots: weight version by slot.
+    :param running: attempts by slot, waiting ones included; a slot is missing where
+        the engine doesn't tell.
+    :param loading: slots whose weights are being loaded, ``None`` where the engine
+        doesn't tell.
     """
 
     boot_id: str
     state: str
     role: str
     slots: dict[str, str]
+    running: dict[str, int] = field(default_factory=dict)
+    loading: frozenset[str] | None = None
 
 
 @dataclass(frozen=True)
@@ -214,57 +241,86 @@
 
     async def cancel(self, attempt_id: str) -> None:
         """Stop an attempt; unknown ones are ignored."""
-        url = f"{self._base}/v1/streams/{attempt_id}"
-        await self._pool.request("DELETE", url, timeouts=CONTROL_TIMEOUTS)
+        await self.call("DELETE", f"/v1/streams/{attempt_id}")
 
     async def find_streams(self, request_key: str) -> list[KeptStream]:
         """Return the streams that the engine holds of one request."""
-        url = f"{self._base}/v1/streams?prefix={request_key}"
-        response = await self._pool.request("GET", url, timeouts=CONTROL_TIMEOUTS)
-        data = _read_json(response)
+        path = f"/v1/streams?prefix={request_key}"
+        data = read_json(await self.call("GET", path))
         try:
             return [KeptStream(**item) for item in data["streams"]]
         except (KeyError, TypeError) as error:
-            raise _refuse_body(url) from error
+            raise refuse_body(path) from error
 
     async def get_health(self) -> EngineHealth:
         """Return the engine's state and loaded slots."""
-        url = f"{self._base}/health"
-        response = await self._pool.request("GET", url, timeouts=CONTROL_TIMEOUTS)
-        data = _read_json(response)
+        data = read_json(await self.call("GET", "/health"))
         try:
             slots = {
                 name: str(item["weight_version"])
                 for name, item in data["slots"].items()
             }
+            running = {
+                name: int(item["running"])
+                for name, item in data["slots"].items()
+                if "running" in item
+            }
+            loading = frozenset(data["loading"]) if "loading" in data else None
             return EngineHealth(
-                str(data["boot_id"]), str(data["state"]), str(data["role"]), slots
+                str(data["boot_id"]),
+                str(data["state"]),
+                str(data["role"]),
+                slots,
+                running,
+                loading,
             )
-        except (KeyError, TypeError, AttributeError) as error:
-            raise _refuse_body(url) from error
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise refuse_body("/health") from error
 
     async def get_load(self) -> EngineLoad:
         """Return the engine's lagging load report."""
-        url = f"{self._base}/load"
-        response = await self._pool.request("GET", url, timeouts=CONTROL_TIMEOUTS)
+        data = read_json(await self.call("GET", "/load"))
         try:
-            return EngineLoad(**_read_json(response))
+            return EngineLoad(**data)
         except TypeError as error:
-            raise _refuse_body(url) from error
+            raise refuse_body("/load") from error
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        data: object = None,
+        timeouts: Timeouts = CONTROL_TIMEOUTS,
+    ) -> Response:
+        """Send a control call and check that the answer is its own.
+
+        :param path: with the query.
+        :param data: JSON-ready body, ``None`` for no body.
+        :raises ApricotliftError: ``foreign_attempt`` for another call's answer, or a
+            failure of the transport.
+        """
+        call_id = secrets.token_hex(8)
+        headers = {"x-call-id": call_id, "content-type": "application/json"}
+        body = b"" if data is None else json.dumps(data).encode()
+        response = await self._pool.request(
+            method, self._base + path, headers, body, timeouts, _MAX_BODY_BYTES
+        )
+        # Engines without this extension echo nothing.
+        if response.headers.get("x-call-id", call_id) != call_id:
+            raise self._refuse_foreign("call")
+        return response
 
     async def _check_stream(
         self, response: ResponseStream, attempt_id: str
     ) -> EngineStream:
-        if response.status != 200:
-            raise await _read_refusal(response, self.name)
         headers = response.headers
-        echoed = headers.get("x-attempt-id", "")
-        if echoed != attempt_id:
-            self._metrics.count("dropped_answers_total", reason=Code.FOREIGN_ATTEMPT)
-            message = f"upstream {self.name} answered for another attempt"
-            raise ApricotliftError(
-                Code.FOREIGN_ATTEMPT, message, Ran.MAYBE, Scope.UPSTREAM
-            )
+        echoed = headers.get("x-attempt-id")
+        is_refusal = response.status != 200
+        # A refusal says "not run", so a crossed one is as harmful as crossed text.
+        if echoed != attempt_id and not (is_refusal and echoed is None):
+            raise self._refuse_foreign("attempt")
+        if is_refusal:
+            raise await _read_refusal(response, self.name)
         return EngineStream(
             attempt_id,
             headers.get("x-boot-id", ""),
@@ -274,6 +330,13 @@
             self._metrics,
         )
 
+    def _refuse_foreign(self, what: str) -> ApricotliftError:
+        self._metrics.count("dropped_answers_total", reason=Code.FOREIGN_ATTEMPT)
+        message = f"upstream {self.name} answered for another {what}"
+        return ApricotliftError(
+            Code.FOREIGN_ATTEMPT, message, Ran.MAYBE, Scope.UPSTREAM
+        )
+
 
 async def _read_refusal(response: ResponseStream, name: str) -> ApricotliftError:
     body = await response.read(_MAX_ERROR_BYTES)
@@ -289,6 +352,11 @@
         "stream_not_found": Code.STREAM_LOST,
     }
     known = by_code.get(code)
+    if code == "attempt_exists":
+        # The engine has the attempt, so an earlier copy of the call arrived.
+        return ApricotliftError(
+            Code.UPSTREAM_REFUSED, message, Ran.MAYBE, Scope.REQUEST
+        )
     if known is not None:
         ran = Ran.MAYBE if known is Code.STREAM_LOST else Ran.NO
         return ApricotliftError(known, message, ran, Scope.UPSTREAM)
@@ -297,19 +365,24 @@
     return ApricotliftError(Code.UPSTREAM_REFUSED, message, Ran.MAYBE, Scope.UPSTREAM)
 
 
-def _read_json(response: Response) -> dict:
+def read_json(response: Response) -> dict:
+    """Return the object in the body of a 200 answer.
+
+    :raises ApricotliftError: ``upstream_refused`` or ``upstream_protocol``.
+    """
     if response.status != 200:
         message = f"upstream answered {response.status}"
         raise ApricotliftError(Code.UPSTREAM_REFUSED, message, Ran.NO, Scope.UPSTREAM)
     try:
         data = json.loads(response.body)
     except ValueError as error:
-        raise _refuse_body("response") from error
+        raise refuse_body("response") from error
     if not isinstance(data, dict):
-        raise _refuse_body("response")
+        raise refuse_body("response")
     return data
 
 
-def _refuse_body(what: str) -> ApricotliftError:
+def refuse_body(what: str) -> ApricotliftError:
+    """Return the error for a body that can't be read."""
     message = f"unexpected body of {what}"
     return ApricotliftError(Code.UPSTREAM_PROTOCOL, message, Ran.NO, Scope.UPSTREAM)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -25,6 +25,7 @@
     count_tokens,
 )
 from standins.enginecache import EventLog, PrefixCache
+from standins.enginefaults import Faults
 from standins.enginekv import export_blocks, import_blocks
 from standins.engineorders import Weights, WeightStore
 from standins.http import Reply, Request, Streaming, bind, build_app, build_json_reply
@@ -37,59 +38,6 @@
 _FOREIGN_ATTEMPT = "0" * 24
 
 
-@dataclass
-class Faults:
-    """Faults that ``POST /faults`` switches; a field that isn't given is off.
-
-    :param break_after: close each new stream after so many events; 0 is off.
-    :param break_before_headers: drop the answer to a prompt after it was queued.
-    :param foreign_events: send an event of another attempt before each own one.
-    :param foreign_headers: name another attempt in the headers.
-    :param wrong_version: report another weight version.
-    :param duplicate_every: send each so-many-th event twice.
-    :param skip_every: leave out each so-many-th event.
-    :param state: ``serving``, ``draining`` or ``full``.
-    :param token_s: token interval instead of the option's.
-    :param prefill_s_per_token: prefill cost instead of the option's.
-    :param answer_delay_s: wait before the headers of each answer.
-    :param crash_marker: exit at once on a prompt that contains this text.
-    :param crash_after_tokens: exit only after so many tokens of such a prompt.
-    :param event_delay_s: publish cache events late, by up to so much.
-    :param event_gap_every: lose each so-many-th cache event.
-    :param event_duplicate_every: send each so-many-th cache event twice.
-    :param load_lag_s: refresh the load report only so often.
-    :param orders_fail: refuse orders with 500 before they take effect.
-    :param order_answers_lost: drop the answer of an order after it took effect.
-    :param import_unchecked: keep imported blocks without checking them.
-    """
-
-    break_after: int = 0
-    break_before_headers: bool = False
-    foreign_events: bool = False
-    foreign_headers: bool = False
-    wrong_version: bool = False
-    duplicate_every: int = 0
-    skip_every: int = 0
-    state: str = "serving"
-    token_s: float | None = None
-    prefill_s_per_token: float | None = None
-    answer_delay_s: float = 0.0
-    crash_marker: str = ""
-    crash_after_tokens: int = 0
-    event_delay_s: float = 0.0
-    event_gap_every: int = 0
-    event_duplicate_every: int = 0
-    load_lag_s: float = 0.0
-    orders_fail: bool = False
-    order_answers_lost: bool = False
-    import_unchecked: bool = False
-
-    @property
-    def header_state(self) -> str:
-        """Return the state that headers and ``/health`` show."""
-        return "draining" if self.state == "draining" else "serving"
-
-
 @dataclass
 class Engine:
     """The state of one engine process."""
@@ -175,9 +123,13 @@
 async def handle(engine: Engine, tasks, request: Request, out: Streaming):
     """Answer one request."""
     reply = await _dispatch(engine, tasks, request, out)
-    call_id = request.headers.get("x-call-id")
-    if reply is not None and call_id:
-        reply.headers["x-call-id"] = call_id
+    if reply is not None:
+        reply.headers["x-boot-id"] = engine.boot_id
+        reply.headers["x-engine-state"] = engine.faults.header_state
+        if "x-call-id" in request.headers:
+            crossed = engine.faults.foreign_headers
+            call_id = _FOREIGN_ATTEMPT if crossed else request.headers["x-call-id"]
+            reply.headers["x-call-id"] = call_id
     return reply
 
 
@@ -238,7 +190,10 @@
     after = int(query.get("after", "0"))
     deadline = clocks.monotonic() + min(float(query.get("wait_s", "5")), MAX_POLL_S)
     found = engine.events.read(after)
-    while not found and clocks.monotonic() < deadline:
+    # A number of an earlier boot is answered at once, so that the caller learns the
+    # new boot id.
+    is_known = after <= engine.events.last_seq
+    while is_known and not found and clocks.monotonic() < deadline:
         await engine.events.wait(deadline - clocks.monotonic())
         found = engine.events.read(after)
     first_seq = engine.events.first_seq
@@ -254,7 +209,8 @@
     faults = engine.faults
     refusal = _find_refusal(engine, slot, attempt_id)
     if refusal is not None:
-        refusal.headers["x-attempt-id"] = attempt_id
+        crossed = faults.foreign_headers
+        refusal.headers["x-attempt-id"] = _FOREIGN_ATTEMPT if crossed else attempt_id
         return refusal
     truth = {
         "attempt_id": attempt_id,
--- a/standins/enginecache.py
+++ b/standins/enginecache.py
@@ -58,6 +58,11 @@
         """Number of the oldest event that is kept."""
         return self._n_written - len(self._events) + 1
 
+    @property
+    def last_seq(self) -> int:
+        """Number of the newest event."""
+        return self._n_written
+
     def write(self, kind: str, root: str, blocks: Sequence[str]) -> None:
         """Add an event."""
         self._n_written += 1
