--- /dev/null
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/transfers.feature
@@ -0,0 +1,92 @@
+Feature: KV transfers, cache events and orders
+
+  Scenario Outline: A block that changed in the store is never imported
+    # Guards against reading blocks that were freed, replaced, damaged or only
+    # partly transferred.
+    Given an engine
+    And a KV store
+    And blocks b1 b2 of salt s are exported
+    And the store has the faults <faults>
+    When block b1 is imported under salt t
+    Then the import of b1 failed because of <reason>
+    When a prompt of blocks b1 b2 runs under salt t
+    Then 0 tokens were cached
+
+    Examples:
+      | faults                                   | reason     |
+      | {"corrupt": ["b1"]}                      | digest     |
+      | {"corrupt_every": 1}                     | digest     |
+      | {"truncate_every": 1}                    | truncated  |
+      | {"reuse": ["b1"]}                        | replaced   |
+      | {"reuse": ["b1"], "ignore_match": true}  | replaced   |
+      | {"lose_everything": true}                | missing    |
+      | {"unavailable": true}                    | status_503 |
+
+  Scenario: Exported blocks are imported and used by another engine
+    # Guards against recomputing a returning prompt that a store still holds.
+    Given an engine
+    And a KV store
+    And blocks b1 b2 of salt s are exported
+    And a second engine
+    When block b1 is imported under salt s
+    Then the import of b1 succeeded
+    When a prompt of blocks b1 b2 runs under salt s
+    Then 1000 tokens were cached
+
+  Scenario: A full store is reported for each block
+    # Guards against hints for copies that were never made.
+    Given an engine
+    And a KV store
+    And the store has the faults {"full": true}
+    When blocks b1 b2 of salt s are exported
+    Then the export of b1 b2 failed because of full
+
+  Scenario: A transfer that hangs ends at its time limit
+    # Guards against a prompt that waits for ever for a fetch.
+    Given an engine
+    And a KV store
+    And blocks b1 b2 of salt s are exported
+    And the store has the faults {"delay_s": 60}
+    When block b1 is imported under salt t
+    Then it fails with upstream_timeout, ran maybe
+
+  Scenario: A block whose id was used again isn't deleted
+    # Guards against freeing a newer block of the same id.
+    Given an engine
+    And a KV store
+    And blocks b1 b2 of salt s are exported
+    And the store has the faults {"reuse": ["b1"]}
+    Then deleting b1 by its exported generation is refused
+    And deleting b2 by its exported generation succeeds
+    And the store's usage shows one block
+
+  Scenario: Gaps, duplicates and restarts in cache events are reported
+    # Guards against hints that outlive lost events or a restarted engine.
+    Given an engine
+    And the engine has the faults {"event_gap_every": 2, "event_duplicate_every": 3}
+    When 5 prompts of one block each have run
+    And the events are followed over a restart of the engine
+    Then events 1 3 5 came once each
+    And the gaps were 2-2 4-4
+    And 1 duplicate was dropped
+    And the restart was reported before the events after it
+
+  Scenario Outline: A stale order
+    # Guards against orders of a former owner at engines that check fencing.
+    Given an engine with the options --fencing <fencing> --load-s 0.05
+    When an order with fence 7 loads wax@v2
+    And an order with fence 6 loads wax@v3
+    Then <outcome>
+
+    Examples:
+      | fencing | outcome                                     |
+      | checked | the order was refused with highest fence 7  |
+      | ignored | the engine comes to hold wax@v1 wax@v2 wax@v3 |
+
+  Scenario: The answer of an order is lost
+    # Guards against treating an order that took effect as not sent.
+    Given an engine with the options --load-s 0.05
+    And the engine has the faults {"order_answers_lost": true}
+    When an order with fence 1 loads wax@v2
+    Then it fails with stream_broken, ran maybe
+    And the engine comes to hold wax@v1 wax@v2
