Add the client of plain services

Cause: a non-repeatable call must say exactly whether it ran. Change: ServiceClient sends such calls on a connection of their own, passes on any answer of the service and strips the headers of one connection. Conclusion: claims can rely on the outcome.

--- /dev/null
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/service.py
@@ -0,0 +1,128 @@
+"""Client of plain services.
+
+A non-repeatable call uses a connection of its own, so that its outcome is exact: a
+connection that could not be opened carried nothing (not run); once the request may
+have been sent, only an answer tells what happened (``maybe``).
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.core.metrics import Metrics
+from apricotlift.upstreams.pool import Pool, Response, Timeouts
+
+_HEALTH_TIMEOUTS = Timeouts(connect_s=1.0, read_s=2.0, write_s=2.0)
+_MAX_BODY_BYTES = 16_777_216
+
+#: Headers of one connection, which aren't passed on (RFC 9110, section 7.6.1).
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(frozen=True)
+class ServiceCall:
+    """One attempt of a call.
+
+    :param path: with the query, beginning with a slash.
+    :param repeatable: whether the operator's rule says ``safe``.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    repeatable: bool = False
+
+
+class ServiceClient:
+    """Calls one server of a plain service.
+
+    :param address: ``IP:PORT``.
+    """
+
+    def __init__(
+        self, name: str, address: str, pool: Pool, metrics: Metrics, tls: bool = False
+    ):
+        self.name = name
+        self.address = address
+        self._base = f"{'https' if tls else 'http'}://{address}"
+        self._pool = pool
+        self._metrics = metrics
+
+    async def call(
+        self,
+        call: ServiceCall,
+        timeouts: Timeouts,
+        max_bytes: int = _MAX_BODY_BYTES,
+    ) -> Response:
+        """Send a call once and return the service's answer, whatever its status.
+
+        :raises ApricotliftError: ``upstream_connect``, not run; otherwise ran
+            ``maybe``: ``upstream_timeout``, ``stream_broken``, ``foreign_attempt``
+            or, for an answer over ``max_bytes``, ``upstream_protocol``.
+        """
+        headers = _strip(call.headers)
+        response = await self._pool.request(
+            call.method,
+            self._base + call.path,
+            headers,
+            call.body,
+            timeouts,
+            max_bytes,
+            fresh=not call.repeatable,
+        )
+        self._check_own(headers, response)
+        return Response(response.status, _strip(response.headers), response.body)
+
+    async def get_state(self) -> str:
+        """Return ``serving`` or ``draining``.
+
+        :raises ApricotliftError: when the service doesn't answer or answers
+            otherwise.
+        """
+        url = f"{self._base}/health"
+        response = await self._pool.request("GET", url, timeouts=_HEALTH_TIMEOUTS)
+        if response.status == 200:
+            return "serving"
+        if response.status == 503 and b"draining" in response.body:
+            return "draining"
+        message = f"service {self.name} answered {response.status} to a probe"
+        raise ApricotliftError(Code.UPSTREAM_REFUSED, message, Ran.NO, Scope.UPSTREAM)
+
+    def _check_own(self, sent: dict[str, str], response: Response) -> None:
+        # Services needn't echo the id; one that echoes another id has answered
+        # another call.
+        request_id = sent.get("x-request-id")
+        if request_id is None:
+            return
+        if response.headers.get("x-request-id", request_id) != request_id:
+            self._metrics.count("dropped_answers_total", reason=Code.FOREIGN_ATTEMPT)
+            message = f"service {self.name} answered for another request"
+            raise ApricotliftError(
+                Code.FOREIGN_ATTEMPT, message, Ran.MAYBE, Scope.UPSTREAM
+            )
+
+
+def _strip(headers: Mapping[str, str]) -> dict[str, str]:
+    lowered = {key.lower(): value for key, value in headers.items()}
+    # A connection header names further headers of this connection only.
+    named = {item.strip().lower() for item in lowered.get("connection", "").split(",")}
+    return {
+        key: value
+        for key, value in lowered.items()
+        if key not in HOP_HEADERS and key not in named
+    }
