Add the circuit breaker

Change: policy.breaker with tickets, so that late results of attempts begun before a change of state are ignored and a lost probe frees its place. Conclusion: usable for upstreams and stores.

--- /dev/null
+++ b/packages/apricotlift-policy/src/apricotlift/policy/breaker.py
@@ -0,0 +1,171 @@
+"""Circuit breaker with hysteresis for one upstream or store.
+
+The breaker opens on failures, lets one probe at a time through after a jittered
+wait, and closes only after several successful probes in a row, so that a target
+that fails now and then doesn't switch state with every request.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+
+class BreakerState(StrEnum):
+    """What the breaker lets through."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+@dataclass(frozen=True)
+class BreakerSettings:
+    """When a breaker opens, probes and closes.
+
+    :param n_consecutive_failures: failures in a row that open it.
+    :param failure_share: share of failed requests in the window that opens it.
+    :param n_window_min: requests in the window below which the share is ignored.
+    :param window_s: length of the window.
+    :param n_probes_to_close: successful probes in a row that close it.
+    :param open_min_s: first wait before a probe; doubles with each failed probe.
+    :param open_max_s: longest wait before a probe.
+    :param jitter_share: each wait is drawn from this share below to above it, so
+        that nodes that opened together don't probe together.
+    :param probe_timeout_s: a probe without a result counts as lost after this time.
+    """
+
+    n_consecutive_failures: int = 5
+    failure_share: float = 0.5
+    n_window_min: int = 20
+    window_s: float = 10.0
+    n_probes_to_close: int = 3
+    open_min_s: float = 1.0
+    open_max_s: float = 30.0
+    jitter_share: float = 0.2
+    probe_timeout_s: float = 30.0
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """Permission for one attempt; handed back with its result."""
+
+    generation: int
+    is_probe: bool
+
+
+class Breaker:
+    """State of one breaker.
+
+    >>> breaker = Breaker(BreakerSettings(n_consecutive_failures=1))
+    >>> ticket = breaker.begin(now_s=0.0)
+    >>> breaker.finish(ticket, succeeded=False, now_s=0.1, random=Random(1))
+    >>> breaker.allows(now_s=0.2), breaker.allows(now_s=2.0)
+    (False, True)
+    """
+
+    def __init__(self, settings: BreakerSettings):
+        self.settings = settings
+        self.state = BreakerState.CLOSED
+        self._results: deque[tuple[float, bool]] = deque()
+        self._n_failed_in_window = 0
+        self._n_consecutive_failures = 0
+        self._n_good_probes = 0
+        self._n_openings = 0
+        self._probe_at_s = -math.inf
+        self._probe_lost_at_s = -math.inf
+        # Counts changes of state and probes; a result of an earlier generation
+        # says nothing about the target now and is ignored.
+        self._generation = 0
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether :meth:`begin` would give a ticket now."""
+        if self.state is BreakerState.CLOSED:
+            return True
+        return now_s >= max(self._probe_at_s, self._probe_lost_at_s)
+
+    def begin(self, now_s: float) -> Ticket | None:
+        """Return a ticket for one attempt, or nothing while the breaker refuses."""
+        if not self.allows(now_s):
+            return None
+        if self.state is BreakerState.CLOSED:
+            return Ticket(self._generation, is_probe=False)
+        self.state = BreakerState.HALF_OPEN
+        self._generation += 1
+        self._probe_lost_at_s = now_s + self.settings.probe_timeout_s
+        return Ticket(self._generation, is_probe=True)
+
+    def finish(
+        self, ticket: Ticket, succeeded: bool, now_s: float, random: Random
+    ) -> None:
+        """Record the result of an attempt.
+
+        :param ticket: what :meth:`begin` returned for it.
+        :param succeeded: whether the target did its part.
+        :param now_s: the present time.
+        :param random: source of the jitter.
+        """
+        if ticket.generation != self._generation:
+            return
+        if ticket.is_probe:
+            self._finish_probe(succeeded, now_s, random)
+            return
+        self._note_result(succeeded, now_s)
+        if self._must_open():
+            self._open(now_s, random)
+
+    def abandon(self, ticket: Ticket) -> None:
+        """Give a ticket back without a result, as for a cancelled request."""
+        if ticket.is_probe and ticket.generation == self._generation:
+            self._probe_lost_at_s = -math.inf
+
+    def _finish_probe(self, succeeded: bool, now_s: float, random: Random) -> None:
+        self._probe_lost_at_s = -math.inf
+        if not succeeded:
+            self._open(now_s, random)
+            return
+        self._n_good_probes += 1
+        if self._n_good_probes >= self.settings.n_probes_to_close:
+            self.state = BreakerState.CLOSED
+            self._n_openings = 0
+            self._generation += 1
+            self._clear_results()
+
+    def _note_result(self, succeeded: bool, now_s: float) -> None:
+        self._n_consecutive_failures += 1
+        if succeeded:
+            self._n_consecutive_failures = 0
+        self._results.append((now_s, succeeded))
+        self._n_failed_in_window += not succeeded
+        while self._results[0][0] < now_s - self.settings.window_s:
+            _, old_succeeded = self._results.popleft()
+            self._n_failed_in_window -= not old_succeeded
+
+    def _must_open(self) -> bool:
+        settings = self.settings
+        if self._n_consecutive_failures >= settings.n_consecutive_failures:
+            return True
+        n_results = len(self._results)
+        n_allowed = settings.failure_share * n_results
+        return n_results >= settings.n_window_min and (
+            self._n_failed_in_window >= n_allowed
+        )
+
+    def _open(self, now_s: float, random: Random) -> None:
+        settings = self.settings
+        # The exponent is bounded because the power overflows a float otherwise.
+        wait_s = settings.open_min_s * 2.0 ** min(self._n_openings, 60)
+        wait_s = min(wait_s, settings.open_max_s)
+        spread = random.uniform(-settings.jitter_share, settings.jitter_share)
+        self.state = BreakerState.OPEN
+        self._n_openings += 1
+        self._n_good_probes = 0
+        self._probe_at_s = now_s + wait_s * (1 + spread)
+        self._generation += 1
+        self._clear_results()
+
+    def _clear_results(self) -> None:
+        self._results.clear()
+        self._n_failed_in_window = 0
+        self._n_consecutive_failures = 0
