Add routing of prompts to upstreams

Cause: returning prompts should be served where their blocks are, by fetch or by recomputation, whichever costs least, without the nodes herding. Keeping the cheaper of two drawn candidates was tried first: of 400 nodes with one report more than a third chose one server of six, so ties now go to the first draw.

--- /dev/null
+++ b/packages/apricotlift-policy/src/apricotlift/policy/routing.py
@@ -0,0 +1,391 @@
+"""Choice of the upstream for a prompt.
+
+Nodes decide alone on reports that lag, so the spread between them matters as much
+as the estimate: see Dahlin, "Interpreting stale load information", IEEE
+Transactions on Parallel and Distributed Systems 11(10), 2000. The work that others
+have placed unseen is taken to fill the cheapest candidates up to a common level;
+each candidate is drawn with a weight that is its distance from that level.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from random import Random
+from typing import Any
+
+from apricotlift.core.errors import ApricotliftError, Code, Scope
+from apricotlift.core.hashing import rank_nodes
+from apricotlift.policy.estimates import (
+    Candidate,
+    Estimate,
+    RoutingRequest,
+    RoutingSettings,
+    Store,
+    compute_queue_tokens,
+    estimate_candidate,
+)
+
+# How long a caller should wait when every upstream is excluded: about the time
+# between two health probes, after which the picture may differ.
+NO_UPSTREAM_RETRY_S = 1.0
+
+_CODES = {
+    "draining": Code.UPSTREAM_DRAINING,
+    "breaker_open": Code.BREAKER_OPEN,
+    "full": Code.UPSTREAM_FULL,
+}
+
+
+@dataclass(frozen=True)
+class CandidateRecord:
+    """What was known of a candidate and why it was or wasn't chosen.
+
+    :param verdict: ``chosen``, ``outdrawn`` (as good, lost the draw), ``costlier``,
+        ``not_evaluated`` (queue too long to be worth an estimate), or the reason of
+        the exclusion: ``tried``, ``draining``, ``breaker_open``, ``full``,
+        ``other_suspect``.
+    :param queue_tokens: corrected tokens ahead; nothing for an excluded one.
+    :param estimate: its best estimate, if it was made.
+    """
+
+    upstream: str
+    verdict: str
+    queue_tokens: float | None = None
+    report_age_s: float = 0.0
+    estimate: Estimate | None = None
+
+
+@dataclass(frozen=True)
+class DecisionRecord:
+    """A decision for ``explain``.
+
+    :param level: cost below which candidates took part in the draw.
+    :param excluded_stores: stores that were not usable.
+    """
+
+    policy: str
+    n_prompt_tokens: int
+    n_blocks: int
+    level: float
+    candidates: tuple[CandidateRecord, ...]
+    excluded_stores: tuple[str, ...]
+
+    def build_map(self) -> dict[str, Any]:
+        """Return the record as plain values that JSON can carry."""
+        return asdict(self)
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Where and how a request runs.
+
+    :param n_reused_blocks: leading blocks expected on the engine.
+    :param n_fetched_blocks: blocks after them to import from the store.
+    :param n_recomputed_tokens: prompt tokens that the engine is expected to compute.
+    :param estimated_fetch_s: fetch part of the estimate; twice this is the timeout
+        of the import.
+    """
+
+    upstream: str
+    n_reused_blocks: int
+    n_fetched_blocks: int
+    store: str | None
+    n_recomputed_tokens: int
+    estimated_ttft_s: float
+    estimated_fetch_s: float
+    record: DecisionRecord
+
+
+Policy = Callable[
+    [RoutingRequest, Sequence[Candidate], Sequence[Store], RoutingSettings, Random],
+    Plan,
+]
+
+
+def choose_upstream(
+    request: RoutingRequest,
+    candidates: Sequence[Candidate],
+    stores: Sequence[Store],
+    settings: RoutingSettings,
+    random: Random,
+) -> Plan:
+    """Choose the upstream, and which blocks to reuse, fetch and recompute.
+
+    :raises ApricotliftError: when no candidate is allowed; nothing ran.
+
+    >>> request = RoutingRequest(n_prompt_tokens=8500, n_blocks=8)
+    >>> busy = Candidate("busy", 8000, reported_tokens=900, n_cached_blocks=8)
+    >>> idle = Candidate("idle", 8000)
+    >>> plan = choose_upstream(
+    ...     request, [busy, idle], [], RoutingSettings(), Random(1))
+    >>> plan.upstream, plan.n_reused_blocks, plan.n_recomputed_tokens
+    ('busy', 8, 500)
+    """
+    queues, excluded = _split_candidates(request, candidates, settings)
+    best: dict[str, Estimate] = {}
+    for candidate in _select_for_estimate(request, candidates, queues, settings):
+        estimates = estimate_candidate(
+            request, candidate, stores, settings, queues[candidate.name]
+        )
+        best[candidate.name] = _choose_way(estimates, settings, random)
+    unseen_s = _compute_unseen_s(request, candidates, queues)
+    level = _find_level([e.cost for e in best.values()], settings.w_ttft * unseen_s)
+    least = min(estimate.cost for estimate in best.values())
+    level = max(level, least + settings.tolerance_s)
+    chosen = _draw(candidates, best, level, random)
+    record = _build_record(
+        "choose_upstream", request, candidates, stores, queues, excluded, best
+    )
+    return _build_plan(best[chosen], record(level, chosen))
+
+
+def make_round_robin() -> Policy:
+    """Return a baseline that takes the allowed upstreams in turn."""
+    n_chosen = 0
+
+    def round_robin(request, candidates, stores, settings, random):
+        nonlocal n_chosen
+        n_chosen += 1
+        return _plan_by_rank(
+            "round_robin",
+            (request, candidates, stores, settings),
+            lambda allowed, queues: allowed[n_chosen % len(allowed)],
+        )
+
+    return round_robin
+
+
+def least_load(request, candidates, stores, settings, random) -> Plan:
+    """Baseline: the shortest queue, without stores."""
+    return _plan_by_rank(
+        "least_load", (request, candidates, stores, settings), _take_shortest
+    )
+
+
+def prefix_affinity(request, candidates, stores, settings, random) -> Plan:
+    """Baseline: rendezvous hash of the conversation, without stores."""
+
+    def take_owner(allowed, queues):
+        by_name = {candidate.name: candidate for candidate in allowed}
+        return by_name[rank_nodes(request.shard_key, by_name)[0]]
+
+    return _plan_by_rank(
+        "prefix_affinity", (request, candidates, stores, settings), take_owner
+    )
+
+
+def always_fetch(request, candidates, stores, settings, random) -> Plan:
+    """Baseline: the shortest queue, and all that the fullest store holds."""
+    usable = [store for store in stores if store.usable]
+    most = max((store.n_blocks for store in usable), default=0)
+    fullest = [store for store in usable if store.n_blocks == most]
+    shortest = sorted(fullest, key=lambda store: store.queued_bytes)[:1]
+    inputs = (request, candidates, shortest, settings)
+    return _plan_by_rank("always_fetch", inputs, _take_shortest, fetch_all=True)
+
+
+def always_recompute(request, candidates, stores, settings, random) -> Plan:
+    """Baseline: as :func:`choose_upstream`, but without stores."""
+    return choose_upstream(request, candidates, (), settings, random)
+
+
+def _take_shortest(allowed, queues):
+    def compute_wait_s(candidate):
+        return queues[candidate.name] / candidate.prefill_tokens_per_s
+
+    return min(allowed, key=compute_wait_s)
+
+
+def _plan_by_rank(policy, inputs, take, fetch_all=False) -> Plan:
+    request, candidates, stores, settings = inputs
+    queues, excluded = _split_candidates(request, candidates, settings)
+    allowed = [candidate for candidate in candidates if candidate.name in queues]
+    chosen = take(allowed, queues)
+    estimates = estimate_candidate(
+        request, chosen, stores if fetch_all else (), settings, queues[chosen.name]
+    )
+    if fetch_all:
+        # The settings' weights must not talk this baseline out of fetching.
+        greedy = RoutingSettings(
+            w_ttft=0.0,
+            w_recompute=1.0,
+            w_link=0.0,
+            chunk_tokens=settings.chunk_tokens,
+            chunk_bytes=settings.chunk_bytes,
+            hint_half_life_s=settings.hint_half_life_s,
+        )
+        estimates = estimate_candidate(
+            request, chosen, stores, greedy, queues[chosen.name]
+        )
+    estimate = min(estimates, key=lambda e: e.cost)
+    best = {chosen.name: estimate}
+    record = _build_record(policy, request, candidates, stores, queues, excluded, best)
+    return _build_plan(estimate, record(estimate.cost, chosen.name))
+
+
+def _split_candidates(request, candidates, settings):
+    """Return the queue of each allowed candidate and why the others are excluded."""
+    queues: dict[str, float] = {}
+    excluded: dict[str, str] = {}
+    for candidate in candidates:
+        reason = _find_exclusion(request, candidate)
+        if reason:
+            excluded[candidate.name] = reason
+        else:
+            queues[candidate.name] = compute_queue_tokens(candidate, settings)
+    if not queues:
+        raise _build_refusal(excluded)
+    return queues, excluded
+
+
+def _find_exclusion(request: RoutingRequest, candidate: Candidate) -> str | None:
+    if candidate.draining:
+        return "draining"
+    if candidate.name in request.tried:
+        return "tried"
+    if candidate.breaker_open:
+        return "breaker_open"
+    if request.is_suspect and candidate.n_suspects:
+        return "other_suspect"
+    if candidate.n_in_flight >= candidate.max_in_flight:
+        return "full"
+    return None
+
+
+def _build_refusal(excluded: dict[str, str]) -> ApricotliftError:
+    reasons = set(excluded.values())
+    code = Code.NO_UPSTREAM
+    if len(reasons) == 1:
+        code = _CODES.get(reasons.pop(), Code.NO_UPSTREAM)
+    return ApricotliftError(
+        code,
+        f"none of {len(excluded)} upstreams can take the request",
+        scope=Scope.UPSTREAM,
+        retry_after_s=NO_UPSTREAM_RETRY_S,
+        details={"excluded": excluded},
+    )
+
+
+def _select_for_estimate(request, candidates, queues, settings):
+    """Return the candidates with cached blocks and those with the shortest queues."""
+    with_hints = []
+    without_hints = []
+    for candidate in candidates:
+        if candidate.name in queues:
+            listed = with_hints if candidate.n_cached_blocks else without_hints
+            listed.append(candidate)
+
+    def compute_ready_s(candidate):
+        n_tokens = queues[candidate.name] + request.n_prompt_tokens
+        return n_tokens / candidate.prefill_tokens_per_s
+
+    if len(without_hints) > settings.n_evaluated:
+        without_hints.sort(key=compute_ready_s)
+    return with_hints + without_hints[: settings.n_evaluated]
+
+
+def _choose_way(
+    estimates: list[Estimate], settings: RoutingSettings, random: Random
+) -> Estimate:
+    """Return the cheapest way, drawing among stores that are equally good.
+
+    Nodes that see equal links would otherwise all fetch from the same store.
+    """
+    least = min(estimates, key=lambda estimate: estimate.cost)
+    if least.store is None:
+        return least
+    limit = least.cost + settings.tolerance_s
+    equal = [e for e in estimates if e.store is not None and e.cost <= limit]
+    return random.choice(equal) if len(equal) > 1 else least
+
+
+def _compute_unseen_s(request, candidates, queues) -> float:
+    """Return the unseen work as seconds of an average candidate."""
+    rates = [c.prefill_tokens_per_s for c in candidates if c.name in queues]
+    return request.unseen_tokens * len(rates) / sum(rates)
+
+
+def _find_level(costs: list[float], unseen: float) -> float:
+    """Return the level to which the unseen work fills the cheapest candidates.
+
+    >>> _find_level([1.0, 2.0, 9.0], unseen=3.0)
+    3.0
+    """
+    ordered = sorted(costs)
+    total = 0.0
+    level = ordered[0]
+    for number, cost in enumerate(ordered, start=1):
+        total += cost
+        level = (total + unseen) / number
+        if number == len(ordered) or level <= ordered[number]:
+            break
+    return level
+
+
+def _draw(candidates, best, level, random: Random) -> str:
+    """Draw two candidates by their distance from the level and keep one.
+
+    The one with fewer of this node's own recent placements is kept, and on a tie
+    the one drawn first. Keeping the cheaper one instead would concentrate the
+    choices of all nodes on the cheapest candidates again.
+    """
+    names = [name for name, estimate in best.items() if estimate.cost <= level]
+    if len(names) == 1:
+        return names[0]
+    weights = [level - best[name].cost for name in names]
+    if not any(weights):
+        weights = [1.0] * len(names)
+    drawn = random.choices(names, weights, k=2)
+    n_own = {
+        candidate.name: sum(placement.own for placement in candidate.placements)
+        for candidate in candidates
+        if candidate.name in drawn
+    }
+    return min(drawn, key=n_own.__getitem__)
+
+
+def _build_record(policy, request, candidates, stores, queues, excluded, best):
+    """Return a function that builds the record for the chosen upstream."""
+
+    def find_verdict(name: str, level: float, chosen: str) -> str:
+        if name in excluded:
+            return excluded[name]
+        if name == chosen:
+            return "chosen"
+        if name not in best:
+            return "not_evaluated"
+        return "outdrawn" if best[name].cost <= level else "costlier"
+
+    def build(level: float, chosen: str) -> DecisionRecord:
+        records = tuple(
+            CandidateRecord(
+                upstream=candidate.name,
+                verdict=find_verdict(candidate.name, level, chosen),
+                queue_tokens=queues.get(candidate.name),
+                report_age_s=candidate.report_age_s,
+                estimate=best.get(candidate.name),
+            )
+            for candidate in candidates
+        )
+        return DecisionRecord(
+            policy=policy,
+            n_prompt_tokens=request.n_prompt_tokens,
+            n_blocks=request.n_blocks,
+            level=level,
+            candidates=records,
+            excluded_stores=tuple(s.name for s in stores if not s.usable),
+        )
+
+    return build
+
+
+def _build_plan(estimate: Estimate, record: DecisionRecord) -> Plan:
+    return Plan(
+        upstream=estimate.upstream,
+        n_reused_blocks=estimate.n_reused_blocks,
+        n_fetched_blocks=estimate.n_fetched_blocks,
+        store=estimate.store,
+        n_recomputed_tokens=round(estimate.n_recomputed_tokens),
+        estimated_ttft_s=estimate.ttft_s,
+        estimated_fetch_s=estimate.fetch_s,
+        record=record,
+    )
