Send replies of stand-ins without Nagle's delay

Cause: asyncio sets TCP_NODELAY only on sockets that name IPPROTO_TCP, and the listener didn't, so a reply's second piece waited for the client's delayed acknowledgement. Change: the listener of standins/http.py names its protocol. Conclusion: latencies measured against stand-ins are no longer those of the delay.

--- a/standins/http.py
+++ b/standins/http.py
@@ -135,7 +135,9 @@
 def bind(address: str = "127.0.0.1:0") -> socket.socket:
     """Return a listening socket; port 0 lets the system choose."""
     host, _, port = address.rpartition(":")
-    listener = socket.socket()
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol. Without it, a
+    # reply of two pieces waits 40 ms for the client's delayed acknowledgement.
+    listener = socket.socket(proto=socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
     listener.listen(1024)
