Catch two claim faults that the scenarios had missed

Cause: with "a conflict fails its whole batch" and "a throttled batch isn't sent again" switched on in a scratch copy, all claim scenarios still passed, because a claim is tried again and a record repeated. Change: the conflict scenario counts the rows that were read; a scenario refuses one write, for which the stand-in has n_throttle.

--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/tests/plainservice.py
@@ -0,0 +1,51 @@
+"""A plain service for tests: keeps a list of the calls that ran."""
+
+import anyio
+import defopt
+from apricotlift.core import logs
+
+from standins.http import Reply, Request, Streaming, bind, build_app, build_json_reply
+from standins.http import serve as serve_http
+
+MODES = ("answer", "hold", "cut", "slow", "unavailable")
+
+
+def main(*, name: str) -> None:
+    """Run the service."""
+    logs.configure(name)
+    ran: list[dict] = []
+    faults = {"mode": "answer"}
+
+    async def answer(request: Request, out: Streaming) -> Reply:
+        if request.path == "/faults":
+            faults.update(request.read_json())
+            return build_json_reply({})
+        if request.path == "/truth":
+            return build_json_reply(ran)
+        body = request.body.decode()
+        ran.append({"path": request.path, "body": body, "headers": request.headers})
+        logs.log(logs.INFO, "ran", path=request.path)
+        mode = faults["mode"]
+        if mode == "hold":
+            await anyio.sleep_forever()
+        if mode == "slow":
+            await anyio.sleep(1.0)
+        if mode == "cut":
+            return Reply(cut=True)
+        headers = {
+            "x-served-by": name,
+            "x-apricotlift-secret": "internal",
+            "connection": "x-hop",
+            "x-hop": "1",
+        }
+        status = 503 if mode == "unavailable" else 200
+        return Reply(status, f"{name}: {body}".encode(), headers)
+
+    async def run() -> None:
+        await serve_http(build_app(answer), bind(), name)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/packages/apricotlift-state/src/apricotlift/state/tests/claims.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/claims.feature
@@ -184,6 +184,7 @@
     And the claim key "many-8" was dispatched 1 times
     And the claim platform wrote 80 rows
     And the claim platform took at most 20 transactions for them
+    And the claim platform read 2 rows for them
 
   Scenario: The answer of a whole batch is lost
     Guards against claims that block their keys after a lost answer.
@@ -192,6 +193,13 @@
     When the claim node "n1" calls 40 keys at once
     Then all 40 claim outcomes are "dispatched"
 
+  Scenario: The table refuses a write
+    Guards against calls that fail for a refusal that lasts a moment.
+    Given the claim nodes "n1" with batched writes
+    And the claim faults of the table are {"n_throttle": 1}
+    When the claim node "n1" calls key "a"
+    Then the claim outcomes are "dispatched"
+
   Scenario: The table limits the rate of writes
     Guards against a throttled write that is taken for an applied one.
     Given the claim nodes "n1" with batched writes
--- a/packages/apricotlift-state/src/apricotlift/state/tests/claimworld.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/claimworld.py
@@ -44,6 +44,7 @@
     lost: set[str] = field(default_factory=set)
     dispatched: Counter = field(default_factory=Counter)
     outcomes: list[str] = field(default_factory=list)
+    truth_before: dict = field(default_factory=dict)
 
     def add_node(self, name: str, batched: bool) -> None:
         """Start a node's claims in the portal's event loop."""
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/claim_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/claim_steps.py
@@ -54,7 +54,7 @@
 def call_many(context, name, n):
     world = context.claim_world
     calls = [(world.nodes[name], f"many-{index}") for index in range(n)]
-    world.n_before = world.portal.call(world.read_truth)["n_transactions"]
+    world.truth_before = world.portal.call(world.read_truth)
     world.outcomes = world.portal.call(world.call_all, calls)
 
 
@@ -137,8 +137,17 @@
 @then("the claim platform took at most {n:d} transactions for them")
 def check_transactions(context, n):
     world = context.claim_world
-    truth = world.portal.call(world.read_truth)
-    assert truth["n_transactions"] - world.n_before <= n, truth["n_transactions"]
+    assert subtract_counts(world, "n_transactions") <= n
+
+
+@then("the claim platform read {n:d} rows for them")
+def check_reads(context, n):
+    found = subtract_counts(context.claim_world, "n_rows_read")
+    assert found == n, found
+
+
+def subtract_counts(world, name):
+    return world.portal.call(world.read_truth)[name] - world.truth_before[name]
 
 
 @when("the claim nodes call {n:d} keys under random faults with seed {seed:d}")
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -19,6 +19,14 @@
     THROTTLE = "throttle"
 
 
+_COUNTED_FATES = (
+    Fate.ERROR_BEFORE,
+    Fate.ERROR_AFTER,
+    Fate.DROP_AFTER,
+    Fate.THROTTLE,
+)
+
+
 @dataclass
 class FaultPlan:
     """The faults of one part, as ``POST /faults`` sets them.
@@ -47,6 +55,7 @@
     n_error_before: int = 0
     n_error_after: int = 0
     n_drop_after: int = 0
+    n_throttle: int = 0
     delay_s: float = 0.0
     delay_kind: str = "fixed"
     delay_writes_only: bool = False
@@ -97,7 +106,7 @@
         if rate_per_s and not bucket.take(n_rows):
             return Fate.THROTTLE
         if is_write:
-            for fate in (Fate.ERROR_BEFORE, Fate.ERROR_AFTER, Fate.DROP_AFTER):
+            for fate in _COUNTED_FATES:
                 n_left = getattr(plan, f"n_{fate}")
                 if n_left:
                     setattr(plan, f"n_{fate}", n_left - 1)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,7 +4,8 @@
 and the live list at ``/livelist/instances``. ``POST /faults`` takes a map of part
 (``table``, ``objects``, ``livelist``) to :class:`standins.faults.FaultPlan`; a part
 that the map doesn't name keeps its faults. ``POST /livelist/control`` changes the
-list. ``GET /truth`` shows all rows, objects and counts. Run as
+list. ``GET /truth`` shows all rows, objects and counts (``?rows=no``: without the
+rows). Run as
 ``python -m standins.platform --name platform``.
 """
 
@@ -48,7 +49,8 @@
     if path == "/faults":
         return _set_faults(platform, request.read_json())
     if path == "/truth":
-        return build_json_reply(_build_truth(platform))
+        with_rows = request.query.get("rows") != "no"
+        return build_json_reply(_build_truth(platform, with_rows))
     if path == "/livelist/control":
         return _set_live_list(platform, request.read_json())
     if path == "/livelist/instances":
@@ -187,10 +189,10 @@
     return build_json_reply({})
 
 
-def _build_truth(platform: Platform) -> dict:
+def _build_truth(platform: Platform, with_rows: bool) -> dict:
     store = platform.store
     return {
-        "rows": store.list_rows(),
+        "rows": store.list_rows() if with_rows else [],
         "n_reads": store.n_reads,
         "n_rows_read": store.n_rows_read,
         "n_writes": store.n_writes,
