Let unseen work fill queues instead of costs

Cause: drawing among all candidates whose cost is below the level of the unseen work sent returning prompts away from the engine that held their blocks. Change: the unseen work raises the shortest queues to a common level, and only candidates that then cost the same are drawn from. Candidates without cached blocks that have the same rate and queue share one estimate. The split no longer overflows with a queue_drain_share near zero, which the generated fleets found. Conclusion: reuse and spreading no longer work against each other.

--- a/packages/apricotlift-policy/src/apricotlift/policy/estimates.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/estimates.py
@@ -8,7 +8,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from operator import attrgetter
 
 
 @dataclass(frozen=True)
@@ -28,8 +29,8 @@
     :param drain_max_s: time after a report for which the engine is credited with
         work. An engine whose report is older may be hung rather than idle.
     :param tolerance_s: candidates within this cost of the best are equally good.
-    :param n_evaluated: candidates without cached blocks that are estimated in full;
-        those with the shortest queues are taken.
+    :param n_evaluated: candidates without cached blocks that are estimated in full
+        beyond those that the unseen work may fill; the readiest ones are taken.
     """
 
     w_ttft: float = 1.0
@@ -39,10 +40,10 @@
     chunk_bytes: int = 131_072_000
     hint_half_life_s: float = 600.0
     gap_factor: float = 0.5
-    queue_drain_share: float = 0.5
+    queue_drain_share: float = 0.0
     drain_max_s: float = 3.0
     tolerance_s: float = 0.01
-    n_evaluated: int = 16
+    n_evaluated: int = 4
 
 
 @dataclass(frozen=True)
@@ -143,10 +144,13 @@
     usable: bool = True
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Estimate:
     """One way of running the request on one upstream; expected values.
 
+    Not frozen, because a frozen data class takes about twice as long to build and
+    each decision builds dozens.
+
     :param queue_s: time until the engine would start it now.
     :param fetch_s: time to import the fetched blocks.
     :param prefill_s: time to compute the rest.
@@ -184,7 +188,7 @@
     clock_s = worked_s
     placements = candidate.placements
     if len(placements) > 1:
-        placements = sorted(placements, key=lambda placement: -placement.age_s)
+        placements = sorted(placements, key=_get_age, reverse=True)
     for placement in placements:
         age_s = min(placement.age_s, worked_s)
         tokens = max(0.0, tokens - rate * (clock_s - age_s)) + placement.n_tokens
@@ -192,6 +196,9 @@
     return max(0.0, tokens - rate * clock_s)
 
 
+_get_age = attrgetter("age_s")
+
+
 def compute_p_reuse(candidate: Candidate, settings: RoutingSettings) -> float:
     """Return the probability that the hinted blocks are still on the engine."""
     probability = candidate.p_cached
@@ -207,7 +214,7 @@
     candidate: Candidate,
     stores: Iterable[Store],
     settings: RoutingSettings,
-    queue_tokens: float,
+    queue_s: float,
 ) -> list[Estimate]:
     """Return the sensible ways of running the request on one upstream.
 
@@ -215,93 +222,105 @@
     hinted blocks and fetch those that follow, or, where the hint is doubtful, fetch
     from the first block on.
 
+    :param queue_s: time until the engine would start the request now.
     :returns: the way without a store first.
     """
     p_reuse = compute_p_reuse(candidate, settings)
     n_reused = min(candidate.n_cached_blocks, request.n_blocks)
     if not n_reused:
         p_reuse = 1.0
-    queue_s = queue_tokens / candidate.prefill_tokens_per_s
-    plain = _Terms(request, candidate, settings, queue_s, None, n_reused, p_reuse)
-    estimates = [plain.estimate(0)]
+    rate = candidate.prefill_tokens_per_s
+    plain = _Terms(request, rate, settings, queue_s, None, n_reused, p_reuse)
+    estimates = [plain.estimate(candidate.name, 0)]
     for store in stores:
-        if not store.usable or not store.n_blocks:
+        if not store.usable:
             continue
-        starts = {n_reused, 0} if p_reuse < 1 else {n_reused}
-        for start in starts:
-            if store.n_blocks > start:
-                p_start = p_reuse if start else 1.0
-                terms = replace(plain, store=store, n_reused=start, p_reuse=p_start)
-                estimates.append(terms.find_best_split())
+        n_most = min(store.n_blocks, request.n_blocks)
+        if n_most > n_reused:
+            terms = _Terms(request, rate, settings, queue_s, store, n_reused, p_reuse)
+            n_fetched = terms.find_best_split(n_most - n_reused)
+            estimates.append(terms.estimate(candidate.name, n_fetched))
+        if n_most and n_reused and p_reuse < 1:
+            terms = _Terms(request, rate, settings, queue_s, store, 0, 1.0)
+            n_fetched = terms.find_best_split(n_most)
+            estimates.append(terms.estimate(candidate.name, n_fetched))
     return estimates
 
 
-@dataclass(frozen=True)
 class _Terms:
     """What is fixed while the number of fetched blocks varies."""
 
-    request: RoutingRequest
-    candidate: Candidate
-    settings: RoutingSettings
-    queue_s: float
-    store: Store | None
-    n_reused: int
-    p_reuse: float
-
-    def find_best_split(self) -> Estimate:
-        """Return the split of least cost.
+    def __init__(self, request, rate, settings, queue_s, store, n_reused, p_reuse):
+        self.settings = settings
+        self.queue_s = queue_s
+        self.rate = rate
+        self.store = store
+        self.n_prompt_tokens = request.n_prompt_tokens
+        self.n_reused = n_reused
+        self.p_reuse = p_reuse
+        self.fixed_s = 0.0
+        self.block_s = 0.0
+        if store is not None:
+            self.fixed_s = store.queued_bytes / store.link_bytes_per_s
+            self.fixed_s += store.link_latency_s
+            self.fixed_s *= store.time_factor
+            self.block_s = store.p_present * settings.chunk_bytes
+            self.block_s *= store.time_factor / store.link_bytes_per_s
+
+    def find_best_split(self, n_most: int) -> int:
+        """Return the number of fetched blocks, at least 1, of least cost.
 
         The cost is convex and piecewise linear in the number of fetched blocks. Its
         one corner is where the fetch takes as long as the queue, so the best split
         is an end or beside the corner.
         """
-        n_most = min(self.store.n_blocks, self.request.n_blocks) - self.n_reused
         numbers = {1, n_most}
         drain = self.settings.queue_drain_share
         if drain > 0:
-            block_s = self._compute_fetch_s(1) - self._compute_fetch_s(0)
-            corner = (self.queue_s / drain - self._compute_fetch_s(0)) / block_s
-            corner = max(1, min(n_most, int(corner)))
+            corner = (self.queue_s / drain - self.fixed_s) / self.block_s
+            # Clamped before the conversion, because a tiny share gives infinity.
+            corner = int(max(1.0, min(float(n_most), corner)))
             numbers.update((corner, min(n_most, corner + 1)))
-        return min((self.estimate(n) for n in numbers), key=lambda e: e.cost)
+        if len(numbers) == 1:
+            return n_most
+        return min(numbers, key=self._compute_cost)
 
-    def _compute_fetch_s(self, n_fetched: int) -> float:
-        store = self.store
-        n_bytes = n_fetched * self.settings.chunk_bytes * store.p_present
-        moving_s = (store.queued_bytes + n_bytes) / store.link_bytes_per_s
-        return store.time_factor * (moving_s + store.link_latency_s)
+    def _compute_cost(self, n_fetched: int) -> float:
+        return self._compute(n_fetched)[0]
 
-    def estimate(self, n_fetched: int) -> Estimate:
-        """Return the estimate for one split."""
+    def _compute(self, n_fetched: int) -> tuple[float, float, float, float, float]:
+        """Return cost, TTFT, fetch time, computed tokens and link bytes."""
         settings = self.settings
         fetch_s = 0.0
-        n_cached = self.n_reused
         link_bytes = 0.0
+        n_cached = self.n_reused
         if n_fetched:
-            fetch_s = self._compute_fetch_s(n_fetched)
-            n_cached += n_fetched * self.store.p_present
-            link_bytes = n_fetched * settings.chunk_bytes * self.store.p_present
+            fetch_s = self.fixed_s + n_fetched * self.block_s
+            n_present = n_fetched * self.store.p_present
+            n_cached += n_present
+            link_bytes = n_present * settings.chunk_bytes
         # Without the reused blocks, the fetched ones that follow them are useless.
         n_cached_tokens = self.p_reuse * n_cached * settings.chunk_tokens
         # An engine computes at least the last token of a prompt.
-        n_tokens = max(1.0, self.request.n_prompt_tokens - n_cached_tokens)
-        prefill_s = n_tokens / self.candidate.prefill_tokens_per_s
-        drained_s = settings.queue_drain_share * fetch_s
-        ttft_s = fetch_s + max(0.0, self.queue_s - drained_s) + prefill_s
-        cost = (
-            settings.w_ttft * ttft_s
-            + settings.w_recompute * n_tokens
-            + settings.w_link * link_bytes
-        )
+        n_tokens = max(1.0, self.n_prompt_tokens - n_cached_tokens)
+        queue_s = max(0.0, self.queue_s - settings.queue_drain_share * fetch_s)
+        ttft_s = fetch_s + queue_s + n_tokens / self.rate
+        cost = settings.w_ttft * ttft_s + settings.w_recompute * n_tokens
+        cost += settings.w_link * link_bytes
+        return cost, ttft_s, fetch_s, n_tokens, link_bytes
+
+    def estimate(self, upstream: str, n_fetched: int) -> Estimate:
+        """Return the estimate for one split."""
+        cost, ttft_s, fetch_s, n_tokens, link_bytes = self._compute(n_fetched)
         return Estimate(
-            upstream=self.candidate.name,
+            upstream=upstream,
             store=self.store.name if n_fetched else None,
             n_reused_blocks=self.n_reused,
             n_fetched_blocks=n_fetched,
             n_recomputed_tokens=n_tokens,
             queue_s=self.queue_s,
             fetch_s=fetch_s,
-            prefill_s=prefill_s,
+            prefill_s=n_tokens / self.rate,
             ttft_s=ttft_s,
             link_bytes=link_bytes,
             p_reuse=self.p_reuse,
--- a/packages/apricotlift-policy/src/apricotlift/policy/routing.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/routing.py
@@ -3,12 +3,15 @@
 Nodes decide alone on reports that lag, so the spread between them matters as much
 as the estimate: see Dahlin, "Interpreting stale load information", IEEE
 Transactions on Parallel and Distributed Systems 11(10), 2000. The work that others
-have placed unseen is taken to fill the cheapest candidates up to a common level;
-each candidate is drawn with a weight that is its distance from that level.
+have placed unseen is taken to fill the shortest queues up to a common level, and no
+queue counts as shorter than that. Among candidates that then cost the same, each is
+drawn with a weight that is the distance of its queue from the level. Reuse thus
+still decides between short queues.
 """
 
+import heapq
 from collections.abc import Callable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from random import Random
 from typing import Any
 
@@ -35,7 +38,7 @@
 }
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class CandidateRecord:
     """What was known of a candidate and why it was or wasn't chosen.
 
@@ -58,14 +61,14 @@
 class DecisionRecord:
     """A decision for ``explain``.
 
-    :param level: cost below which candidates took part in the draw.
+    :param limit: cost up to which candidates took part in the draw.
     :param excluded_stores: stores that were not usable.
     """
 
     policy: str
     n_prompt_tokens: int
     n_blocks: int
-    level: float
+    limit: float
     candidates: tuple[CandidateRecord, ...]
     excluded_stores: tuple[str, ...]
 
@@ -121,21 +124,27 @@
     ('busy', 8, 500)
     """
     queues, excluded = _split_candidates(request, candidates, settings)
-    best: dict[str, Estimate] = {}
-    for candidate in _select_for_estimate(request, candidates, queues, settings):
-        estimates = estimate_candidate(
-            request, candidate, stores, settings, queues[candidate.name]
-        )
-        best[candidate.name] = _choose_way(estimates, settings, random)
-    unseen_s = _compute_unseen_s(request, candidates, queues)
-    level = _find_level([e.cost for e in best.values()], settings.w_ttft * unseen_s)
-    least = min(estimate.cost for estimate in best.values())
-    level = max(level, least + settings.tolerance_s)
-    chosen = _draw(candidates, best, level, random)
+    waits = {
+        candidate.name: queues[candidate.name] / candidate.prefill_tokens_per_s
+        for candidate in candidates
+        if candidate.name in queues
+    }
+    level_s = _find_level(
+        list(waits.values()), _compute_unseen_s(request, candidates, queues)
+    )
+    selected = _select_for_estimate(request, candidates, waits, level_s, settings)
+    best = _estimate_all(request, selected, stores, settings, waits, level_s, random)
+    limit = min(e.cost for e in best.values()) + settings.tolerance_s
+    weights = {
+        name: max(0.0, level_s - waits[name])
+        for name, estimate in best.items()
+        if estimate.cost <= limit
+    }
+    chosen = _draw(candidates, weights, random)
     record = _build_record(
         "choose_upstream", request, candidates, stores, queues, excluded, best
     )
-    return _build_plan(best[chosen], record(level, chosen))
+    return _build_plan(best[chosen], record(limit, chosen))
 
 
 def make_round_robin() -> Policy:
@@ -200,22 +209,13 @@
     queues, excluded = _split_candidates(request, candidates, settings)
     allowed = [candidate for candidate in candidates if candidate.name in queues]
     chosen = take(allowed, queues)
-    estimates = estimate_candidate(
-        request, chosen, stores if fetch_all else (), settings, queues[chosen.name]
-    )
+    queue_s = queues[chosen.name] / chosen.prefill_tokens_per_s
     if fetch_all:
-        # The settings' weights must not talk this baseline out of fetching.
-        greedy = RoutingSettings(
-            w_ttft=0.0,
-            w_recompute=1.0,
-            w_link=0.0,
-            chunk_tokens=settings.chunk_tokens,
-            chunk_bytes=settings.chunk_bytes,
-            hint_half_life_s=settings.hint_half_life_s,
-        )
-        estimates = estimate_candidate(
-            request, chosen, stores, greedy, queues[chosen.name]
-        )
+        # The deployment's weights must not talk this baseline out of fetching.
+        settings = replace(settings, w_ttft=0.0, w_recompute=1.0, w_link=0.0)
+    else:
+        stores = ()
+    estimates = estimate_candidate(request, chosen, stores, settings, queue_s)
     estimate = min(estimates, key=lambda e: e.cost)
     best = {chosen.name: estimate}
     record = _build_record(policy, request, candidates, stores, queues, excluded, best)
@@ -265,22 +265,48 @@
     )
 
 
-def _select_for_estimate(request, candidates, queues, settings):
-    """Return the candidates with cached blocks and those with the shortest queues."""
-    with_hints = []
-    without_hints = []
+def _select_for_estimate(request, candidates, waits, level_s, settings):
+    """Return the candidates that may be the cheapest.
+
+    These are all with cached blocks, all that the unseen work may fill, and the
+    readiest ones of the rest.
+    """
+    selected = []
+    rest = []
     for candidate in candidates:
-        if candidate.name in queues:
-            listed = with_hints if candidate.n_cached_blocks else without_hints
-            listed.append(candidate)
+        wait_s = waits.get(candidate.name)
+        if wait_s is None:
+            continue
+        if candidate.n_cached_blocks or wait_s <= level_s:
+            selected.append(candidate)
+        else:
+            prefill_s = request.n_prompt_tokens / candidate.prefill_tokens_per_s
+            rest.append((wait_s + prefill_s, len(rest), candidate))
+    readiest = heapq.nsmallest(settings.n_evaluated, rest)
+    return selected + [candidate for _, _, candidate in readiest]
 
-    def compute_ready_s(candidate):
-        n_tokens = queues[candidate.name] + request.n_prompt_tokens
-        return n_tokens / candidate.prefill_tokens_per_s
 
-    if len(without_hints) > settings.n_evaluated:
-        without_hints.sort(key=compute_ready_s)
-    return with_hints + without_hints[: settings.n_evaluated]
+def _estimate_all(request, selected, stores, settings, waits, level_s, random):
+    """Return the best way of each selected candidate by name."""
+    best: dict[str, Estimate] = {}
+    # Candidates without cached blocks differ only in rate and queue, and those below
+    # the level not even in the queue, so most of a large group share their figures.
+    alike: dict[tuple[float, float], list[Estimate]] = {}
+    for candidate in selected:
+        queue_s = max(waits[candidate.name], level_s)
+        key = (candidate.prefill_tokens_per_s, queue_s)
+        estimates = None if candidate.n_cached_blocks else alike.get(key)
+        if estimates is None:
+            estimates = estimate_candidate(
+                request, candidate, stores, settings, queue_s
+            )
+            if not candidate.n_cached_blocks:
+                alike[key] = estimates
+        way = _choose_way(estimates, settings, random)
+        if way.upstream != candidate.name:
+            way = replace(way, upstream=candidate.name)
+        best[candidate.name] = way
+    return best
 
 
 def _choose_way(
@@ -304,37 +330,37 @@
     return request.unseen_tokens * len(rates) / sum(rates)
 
 
-def _find_level(costs: list[float], unseen: float) -> float:
-    """Return the level to which the unseen work fills the cheapest candidates.
+def _find_level(waits: list[float], unseen_s: float) -> float:
+    """Return the level to which the unseen work fills the shortest queues.
 
-    >>> _find_level([1.0, 2.0, 9.0], unseen=3.0)
+    >>> _find_level([1.0, 2.0, 9.0], unseen_s=3.0)
     3.0
     """
-    ordered = sorted(costs)
-    total = 0.0
-    level = ordered[0]
-    for number, cost in enumerate(ordered, start=1):
-        total += cost
-        level = (total + unseen) / number
-        if number == len(ordered) or level <= ordered[number]:
+    ordered = sorted(waits)
+    total_s = 0.0
+    level_s = ordered[0]
+    for number, wait_s in enumerate(ordered, start=1):
+        total_s += wait_s
+        level_s = (total_s + unseen_s) / number
+        if number == len(ordered) or level_s <= ordered[number]:
             break
-    return level
+    return level_s
 
 
-def _draw(candidates, best, level, random: Random) -> str:
-    """Draw two candidates by their distance from the level and keep one.
+def _draw(candidates, weights: dict[str, float], random: Random) -> str:
+    """Draw two candidates by weight and keep one.
 
     The one with fewer of this node's own recent placements is kept, and on a tie
     the one drawn first. Keeping the cheaper one instead would concentrate the
     choices of all nodes on the cheapest candidates again.
     """
-    names = [name for name, estimate in best.items() if estimate.cost <= level]
+    names = list(weights)
     if len(names) == 1:
         return names[0]
-    weights = [level - best[name].cost for name in names]
-    if not any(weights):
-        weights = [1.0] * len(names)
-    drawn = random.choices(names, weights, k=2)
+    numbers = list(weights.values())
+    if not any(numbers):
+        numbers = [1.0] * len(names)
+    drawn = random.choices(names, numbers, k=2)
     n_own = {
         candidate.name: sum(placement.own for placement in candidate.placements)
         for candidate in candidates
@@ -346,20 +372,20 @@
 def _build_record(policy, request, candidates, stores, queues, excluded, best):
     """Return a function that builds the record for the chosen upstream."""
 
-    def find_verdict(name: str, level: float, chosen: str) -> str:
+    def find_verdict(name: str, limit: float, chosen: str) -> str:
         if name in excluded:
             return excluded[name]
         if name == chosen:
             return "chosen"
         if name not in best:
             return "not_evaluated"
-        return "outdrawn" if best[name].cost <= level else "costlier"
+        return "outdrawn" if best[name].cost <= limit else "costlier"
 
-    def build(level: float, chosen: str) -> DecisionRecord:
+    def build(limit: float, chosen: str) -> DecisionRecord:
         records = tuple(
             CandidateRecord(
                 upstream=candidate.name,
-                verdict=find_verdict(candidate.name, level, chosen),
+                verdict=find_verdict(candidate.name, limit, chosen),
                 queue_tokens=queues.get(candidate.name),
                 report_age_s=candidate.report_age_s,
                 estimate=best.get(candidate.name),
@@ -370,7 +396,7 @@
             policy=policy,
             n_prompt_tokens=request.n_prompt_tokens,
             n_blocks=request.n_blocks,
-            level=level,
+            limit=limit,
             candidates=records,
             excluded_stores=tuple(s.name for s in stores if not s.usable),
         )
--- a/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/routing_steps.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/routing_steps.py
@@ -77,12 +77,10 @@
     @any_of(CANDIDATES, STORES, st.floats(0, 1))
     def check(candidate, store, drain):
         chosen = replace(SETTINGS, queue_drain_share=drain)
-        queue_tokens = compute_queue_tokens(candidate, chosen)
+        queue_s = compute_queue_tokens(candidate, chosen) / 8000
 
         def estimate_least(store):
-            estimates = estimate_candidate(
-                REQUEST, candidate, [store], chosen, queue_tokens
-            )
+            estimates = estimate_candidate(REQUEST, candidate, [store], chosen, queue_s)
             return min(estimate.cost for estimate in estimates)
 
         least = estimate_least(store)
