Keep cancelled streams known to the stand-in engine

Cause: the stand-in forgot a cancelled stream and answered 404, so a node that followed the same attempt took it for lost and ran the prompt again.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -266,7 +266,6 @@
 def _cancel(engine: Engine, stream: Stream) -> None:
     stream.cancelled = True
     engine.batch.cancel(stream)
-    engine.streams.pop(stream.attempt_id, None)
     stream.wake()
 
 
