--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
@@ -351,6 +351,8 @@
         "full": Code.UPSTREAM_FULL,
         "stream_not_found": Code.STREAM_LOST,
     }
+    if code == "cancelled":
+        return ApricotliftError(Code.CANCELLED, message, Ran.YES)
     known = by_code.get(code)
     if code == "attempt_exists":
         # The engine has the attempt, so an earlier copy of the call arrived.
