--- a/packages/apricotlift-node/src/apricotlift/node/attempts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/attempts.py
@@ -5,34 +5,37 @@
 already there, on the same slot, so one answer never mixes weight versions.
 """
 
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, field
 
 import anyio
 from apricotlift.core import clocks, logs
-from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.core.errors import ApricotliftError, Code, Ran
 from apricotlift.core.hashing import digest
-from apricotlift.node.runtime import Attempt, Node
-from apricotlift.node.snapshot import Identity, Snapshot
+from apricotlift.node.identity import Identity
+from apricotlift.node.placement import Located, Prefix
+from apricotlift.node.reading import RESUMABLE, follow
+from apricotlift.node.runtime import Decision, Node
 from apricotlift.node.streams import StreamState
-from apricotlift.state.declarations import Upstream
-from apricotlift.upstreams.engine import EngineStream, GenerateCall, TextChunk, Usage
+from apricotlift.policy.retries import FailedAttempt, RetrySettings, decide_retry
+from apricotlift.policy.routing import Plan
+from apricotlift.state.declarations import Declarations, Upstream
+from apricotlift.state.suspects import QuarantinedRun
+from apricotlift.upstreams.engine import GenerateCall
 from apricotlift.upstreams.pool import Timeouts
+from apricotlift.wire.messages import (
+    ClearSuspect,
+    PrefixRun,
+    RecordAttempt,
+    RecordRuns,
+    ReportCrash,
+)
 
-MAX_ATTEMPTS = 3
 MAX_RESUMES = 3
-WATCH_INTERVAL_S = 0.5
-
-#: Failures after which the same engine may still hold the stream.
-_RESUMABLE = (
-    Code.STREAM_BROKEN,
-    Code.STREAM_GAP,
-    Code.UPSTREAM_TIMEOUT,
-    Code.FOREIGN_ATTEMPT,
-    Code.UPSTREAM_PROTOCOL,
-)
+
 #: Failures after which another engine may do better.
 _RETRYABLE = (
-    *_RESUMABLE,
+    *RESUMABLE,
     Code.STREAM_LOST,
     Code.UPSTREAM_CONNECT,
     Code.UPSTREAM_CRASHED,
@@ -41,6 +44,9 @@
     Code.SLOT_NOT_LOADED,
     Code.WEIGHT_VERSION_MISMATCH,
 )
+#: Failures that say nothing about the health of the engine.
+_HEALTHY = (Code.UPSTREAM_FULL, Code.UPSTREAM_DRAINING, Code.SLOT_NOT_LOADED)
+_RETRY_SETTINGS = RetrySettings()
 
 
 @dataclass(frozen=True)
@@ -61,38 +67,41 @@
     max_tokens: int
     cache_salt: str
     deadline: float
+    prefix: Prefix
     priority: int = 0
     seed: int = 0
     temperature: float | None = None
     stop: tuple[str, ...] = ()
 
 
-def build_request_key(account: str, request_id: str) -> str:
-    """Return the name of a request that no other account can produce."""
-    return digest("request", account, request_id).hex()[:24]
+@dataclass(frozen=True)
+class KeptAttempt:
+    """An attempt that another node has started and an engine still holds."""
 
+    upstream: Upstream
+    attempt_id: str
+    number: int
 
-def build_cache_salt(secret: str, account: str, slot: str) -> str:
-    """Return the salt that keeps an engine's prefix cache apart by account."""
-    return digest("salt", secret, account, slot).hex()
 
+@dataclass
+class _Run:
+    """What one prompt's attempts share."""
 
-def get_weight_version(slot: str) -> str:
-    """Return the weight version that a slot's name pins.
+    call: PromptCall
+    stream: StreamState
+    located: Located = field(default_factory=Located)
+    tried: set[str] = field(default_factory=set)
+    n_attempts: int = 0
 
-    >>> get_weight_version("wax@v2+short")
-    'v2'
-    """
-    return slot.partition("@")[2].partition("+")[0]
 
+def build_request_key(account: str, request_id: str) -> str:
+    """Return the name of a request that no other account can produce."""
+    return digest("request", account, request_id).hex()[:24]
 
-@dataclass(frozen=True)
-class KeptAttempt:
-    """An attempt that another node has started and an engine still holds."""
 
-    upstream: Upstream
-    attempt_id: str
-    number: int
+def build_cache_salt(secret: str, account: str, slot: str) -> str:
+    """Return the salt that keeps an engine's prefix cache apart by account."""
+    return digest("salt", secret, account, slot).hex()
 
 
 async def run_prompt(
@@ -103,13 +112,15 @@
 ) -> None:
     """Run a prompt and fill its stream; never raises.
 
+    The admission that the caller took is given back at the end.
+
     :param kept: an attempt to follow first, before any new one is made.
     """
     started = clocks.monotonic()
     try:
         timeout_s = max(0.0, call.deadline - clocks.monotonic())
         with stream.scope, anyio.move_on_after(timeout_s) as deadline_scope:
-            await _run_attempts(node, call, stream, kept)
+            await _run_attempts(node, _Run(call, stream), kept)
         if stream.scope.cancelled_caught:
             raise ApricotliftError(Code.CANCELLED, "cancelled by its caller", Ran.YES)
         if deadline_scope.cancelled_caught:
@@ -127,6 +138,8 @@
         if not stream.is_finished:
             error = ApricotliftError(Code.STOPPING, "the node stops", Ran.MAYBE)
             stream.fail(error)
+        if kept is None:
+            node.end(call.identity)
         logs.log(
             logs.INFO,
             "prompt_ended",
@@ -140,47 +153,180 @@
         )
 
 
-async def _run_attempts(
-    node: Node, call: PromptCall, stream: StreamState, kept: KeptAttempt | None
-) -> None:
-    tried: set[str] = set()
+async def _run_attempts(node: Node, run: _Run, kept: KeptAttempt | None) -> None:
     number = 0
     if kept is not None:
         number = kept.number
-        if await _follow_kept(node, call, stream, kept):
+        run.tried.add(kept.upstream.name)
+        if await _follow_kept(node, run, kept):
             return
-    first = number + 1
+    call = run.call
+    budget = node.probes.get_budget(call.model)
+    budget.add_first_attempt()
+    run.located = await node.placer.locate(call.prefix)
     while True:
         number += 1
-        upstream = choose_engine(node, call, tried)
-        tried.add(upstream.name)
+        run.n_attempts += 1
         attempt_id = f"{call.request_key}.{call.body_digest}.{number}"
         try:
-            await _run_on_engine(node, call, stream, upstream, attempt_id)
+            await _run_attempt(node, run, attempt_id)
             return
         except ApricotliftError as error:
-            if error.code not in _RETRYABLE or number - first + 1 >= MAX_ATTEMPTS:
+            if error.code not in _RETRYABLE:
+                raise
+            _log_failure(call, attempt_id, run.stream.upstream, error)
+            failed = FailedAttempt(
+                run.n_attempts,
+                error.ran,
+                time_left_s=call.deadline - clocks.monotonic(),
+            )
+            decision = decide_retry(failed, budget, _RETRY_SETTINGS, _RANDOM)
+            if not decision.retry:
+                if decision.code is not None:
+                    node.metrics.count("retries_refused_total", reason=decision.code)
                 raise
             node.metrics.count("retries_total", reason=error.code, kind="attempt")
-            logs.log(
-                logs.WARNING,
-                "attempt_failed",
-                request_id=call.request_id,
-                account=call.identity.account,
-                attempt=attempt_id,
-                upstream=upstream.name,
-                code=error.code,
-                message=error.message,
+            await anyio.sleep(decision.delay_s)
+
+
+_RANDOM = random.Random()
+
+
+async def _run_attempt(node: Node, run: _Run, attempt_id: str) -> None:
+    """Choose an engine and run one attempt on it."""
+    call = run.call
+    suspects = node.cluster.suspects
+    fingerprint = call.prefix.fingerprint.hex()
+    is_suspect = suspects.check(fingerprint, run.located.n_crashes)
+    declarations = node.get_snapshot().declarations
+    plan = _choose(node, run, declarations, is_suspect)
+    upstream = declarations.upstreams[plan.upstream]
+    run.tried.add(upstream.name)
+    _keep_decision(node, call, attempt_id, plan)
+    quarantined: QuarantinedRun | None = None
+    if is_suspect:
+        quarantined = await suspects.begin_run(fingerprint, upstream.name)
+        if quarantined is None:
+            message = f"another suspect runs on {upstream.name}"
+            raise ApricotliftError(Code.UPSTREAM_FULL, message, retry_after_s=1.0)
+    completed = False
+    try:
+        await _run_on_engine(node, run, plan, upstream, attempt_id)
+        completed = True
+    except ApricotliftError as error:
+        await _note_failure(node, run, upstream, error)
+        raise
+    finally:
+        if quarantined is not None:
+            suspects.end_run(quarantined, completed)
+    if completed and suspects.count_crashes(fingerprint):
+        # It ran beside a request that crashed the engine, and is not the cause.
+        suspects.clear(fingerprint)
+        message = ClearSuspect(call.prefix.shard_key, call.prefix.fingerprint)
+        await node.cluster.tell_owners(call.prefix.shard_key, message)
+
+
+def _choose(
+    node: Node, run: _Run, declarations: Declarations, is_suspect: bool
+) -> Plan:
+    call = run.call
+    engines = [
+        upstream
+        for upstream in declarations.upstreams.values()
+        if upstream.kind == "engine" and call.model in upstream.models
+    ]
+    if not engines:
+        message = f"no engine is declared for {call.model!r}"
+        raise ApricotliftError(Code.NO_UPSTREAM, message)
+    return node.placer.choose(
+        call.prefix,
+        run.located,
+        declarations,
+        call.slot,
+        engines,
+        node.in_flight,
+        run.tried,
+        is_suspect,
+        node.cluster.suspects.list_occupied(),
+    )
+
+
+async def _run_on_engine(
+    node: Node, run: _Run, plan: Plan, upstream: Upstream, attempt_id: str
+) -> None:
+    call, stream = run.call, run.stream
+    engine = node.get_engine(upstream)
+    stream.attempt_id = attempt_id
+    stream.upstream = upstream.name
+    state = node.probes.get_state(upstream.name)
+    ticket = state.breaker.begin(clocks.monotonic())
+    if ticket is None:
+        message = f"the breaker of {upstream.name} is open"
+        raise ApricotliftError(Code.UPSTREAM_CONNECT, message, Ran.NO)
+    node.in_flight[upstream.name] = node.in_flight.get(upstream.name, 0) + 1
+    succeeded = False
+    try:
+        if plan.n_fetched_blocks:
+            declarations = node.get_snapshot().declarations
+            await node.placer.fetch(
+                plan, call.prefix, engine, declarations, call.cache_salt
             )
+        await _record_attempt(node, call, attempt_id, upstream)
+        await _generate(node, run, upstream, attempt_id)
+        succeeded = True
+    except ApricotliftError as error:
+        succeeded = error.code in _HEALTHY or error.code is Code.CANCELLED
+        raise
+    except anyio.get_cancelled_exc_class():
+        succeeded = True
+        raise
+    finally:
+        node.in_flight[upstream.name] -= 1
+        state.breaker.finish(ticket, succeeded, clocks.monotonic(), _RANDOM)
+    node.placer.learn(plan, stream.usage, call.prefix.n_prompt_tokens)
+    await _record_runs(node, call, upstream)
 
 
-async def _follow_kept(
-    node: Node, call: PromptCall, stream: StreamState, kept: KeptAttempt
-) -> bool:
+async def _generate(node: Node, run: _Run, upstream: Upstream, attempt_id: str) -> None:
+    """Start the attempt; resume it by offset while the engine still holds it."""
+    call, stream = run.call, run.stream
+    engine = node.get_engine(upstream)
+    timeouts = Timeouts(read_s=node.settings.streams.first_token_timeout_s)
+    generate_call = GenerateCall(
+        attempt_id,
+        call.slot,
+        call.prompt,
+        call.max_tokens,
+        call.cache_salt,
+        call.priority,
+        call.seed,
+        call.prefix.block_names,
+        stream.text,
+        call.temperature,
+        call.stop,
+    )
+    n_resumes = 0
+    while True:
+        if n_resumes == 0:
+            opened = engine.generate(generate_call, timeouts)
+        else:
+            opened = engine.resume(attempt_id, stream.n_characters, timeouts)
+        try:
+            await follow(node, stream, upstream, attempt_id, opened)
+            return
+        except ApricotliftError as error:
+            if error.code not in RESUMABLE or n_resumes >= MAX_RESUMES:
+                raise
+            n_resumes += 1
+            node.metrics.count("retries_total", reason=error.code, kind="resume")
+
+
+async def _follow_kept(node: Node, run: _Run, kept: KeptAttempt) -> bool:
     """Follow another node's attempt; return whether the answer is whole.
 
     :raises ApricotliftError: when it breaks off and there is no prompt to go on with.
     """
+    call, stream = run.call, run.stream
     stream.attempt_id = kept.attempt_id
     stream.upstream = kept.upstream.name
     engine = node.get_engine(kept.upstream)
@@ -188,11 +334,13 @@
     for _ in range(MAX_RESUMES):
         opened = engine.resume(kept.attempt_id, stream.n_characters, timeouts)
         try:
-            await _follow(node, stream, kept.upstream, kept.attempt_id, opened)
+            await follow(node, stream, kept.upstream, kept.attempt_id, opened)
             return True
         except ApricotliftError as error:
+            if error.code is Code.CANCELLED:
+                raise
             node.metrics.count("retries_total", reason=error.code, kind="resume")
-            if error.code not in _RESUMABLE:
+            if error.code not in RESUMABLE:
                 if not call.prompt:
                     raise
                 return False
@@ -202,151 +350,67 @@
     return False
 
 
-def choose_engine(node: Node, call: PromptCall, tried: set[str]) -> Upstream:
-    """Return the engine with the fewest attempts of this node in flight.
-
-    :raises ApricotliftError: ``no_upstream``.
-    """
-    snapshot = node.get_snapshot()
-    candidates = [
-        upstream
-        for upstream in list_engines(snapshot, call.model)
-        if upstream.name not in tried
-    ]
-    if not candidates:
-        message = f"no engine left for {call.slot}; tried {sorted(tried)}"
-        ran = Ran.MAYBE if tried else Ran.NO
-        raise ApricotliftError(
-            Code.NO_UPSTREAM, message, ran, Scope.FLEET, retry_after_s=1.0
-        )
-    return min(candidates, key=lambda item: node.in_flight.get(item.name, 0))
-
-
-def list_engines(snapshot: Snapshot, model: str) -> list[Upstream]:
-    """Return the engines that serve a model and take new work."""
-    return [
-        upstream
-        for upstream in snapshot.declarations.upstreams.values()
-        if upstream.kind == "engine" and model in upstream.models and not upstream.drain
-    ]
-
-
-async def _run_on_engine(
-    node: Node,
-    call: PromptCall,
-    stream: StreamState,
-    upstream: Upstream,
-    attempt_id: str,
+async def _note_failure(
+    node: Node, run: _Run, upstream: Upstream, error: ApricotliftError
 ) -> None:
+    """Find out whether the engine crashed, and report the request if it did."""
+    boot_id = run.stream.boot_id
+    if error.code in _HEALTHY or error.ran is Ran.NO and not boot_id:
+        return
     engine = node.get_engine(upstream)
-    stream.attempt_id = attempt_id
-    stream.upstream = upstream.name
-    timeouts = Timeouts(read_s=node.settings.streams.first_token_timeout_s)
-    generate_call = GenerateCall(
-        attempt_id,
-        call.slot,
-        call.prompt,
-        call.max_tokens,
-        call.cache_salt,
-        call.priority,
-        call.seed,
-        continue_text=stream.text,
-        temperature=call.temperature,
-        stop=call.stop,
-    )
-    node.in_flight[upstream.name] = node.in_flight.get(upstream.name, 0) + 1
-    n_resumes = 0
     try:
-        while True:
-            if n_resumes == 0:
-                opened = engine.generate(generate_call, timeouts)
-            else:
-                opened = engine.resume(attempt_id, stream.n_characters, timeouts)
-            try:
-                await _follow(node, stream, upstream, attempt_id, opened)
-                return
-            except ApricotliftError as error:
-                if error.code not in _RESUMABLE or n_resumes >= MAX_RESUMES:
-                    raise
-                n_resumes += 1
-                node.metrics.count("retries_total", reason=error.code, kind="resume")
-    finally:
-        node.in_flight[upstream.name] -= 1
-
-
-async def _follow(
-    node: Node, stream: StreamState, upstream: Upstream, attempt_id: str, opened
+        health = await engine.get_health()
+    except ApricotliftError as failure:
+        # A silent engine may be paused; only a refused connection shows a crash.
+        crashed = failure.code is Code.UPSTREAM_CONNECT
+        node.probes.get_state(upstream.name).is_reachable = not crashed
+    else:
+        crashed = health.boot_id != boot_id
+    if not crashed or not boot_id:
+        return
+    prefix = run.call.prefix
+    node.metrics.count("upstream_crashes_total", upstream=upstream.name)
+    suspects = node.cluster.suspects
+    suspects.report_crash(prefix.fingerprint.hex(), upstream.name, boot_id)
+    message = ReportCrash(prefix.shard_key, prefix.fingerprint, upstream.name, boot_id)
+    await node.cluster.tell_owners(prefix.shard_key, message)
+
+
+async def _record_attempt(
+    node: Node, call: PromptCall, attempt_id: str, upstream: Upstream
 ) -> None:
-    """Read one engine stream to its end."""
-    with anyio.CancelScope() as scope:
-        attempt = Attempt(attempt_id, upstream.name, scope, clocks.monotonic())
-        node.attempts[attempt_id] = attempt
-        try:
-            async with opened as engine_stream:
-                _check_version(engine_stream, stream.slot)
-                await _read(stream, engine_stream, attempt)
-        finally:
-            del node.attempts[attempt_id]
-    if attempt.stalled:
-        message = f"upstream {upstream.name} sent nothing for too long"
-        raise ApricotliftError(
-            Code.UPSTREAM_TIMEOUT, message, Ran.MAYBE, Scope.UPSTREAM
-        )
-
-
-async def _read(
-    stream: StreamState, engine_stream: EngineStream, attempt: Attempt
-) -> None:
-    finish_reason: str | None = None
-    usage: Usage | None = None
-    async for chunks in engine_stream.iterate():
-        attempt.progress_at = clocks.monotonic()
-        for chunk in chunks:
-            _append(stream, chunk)
-            finish_reason = chunk.finish_reason or finish_reason
-            usage = chunk.usage or usage
-        attempt.has_text = True
-    if finish_reason is None:
-        raise ApricotliftError(
-            Code.STREAM_BROKEN, "end mark without a finish reason", Ran.MAYBE
-        )
-    stream.finish(finish_reason, usage)
+    message = RecordAttempt(call.request_key, attempt_id, upstream.name, call.slot)
+    await node.cluster.tell_owners(call.request_key, message)
 
 
-def _append(stream: StreamState, chunk: TextChunk) -> None:
-    """Add a chunk; what was sent before is dropped, a gap is refused."""
-    n_known = stream.n_characters
-    if chunk.offset > n_known:
-        message = f"stream jumps from character {n_known} to {chunk.offset}"
-        raise ApricotliftError(Code.STREAM_GAP, message, Ran.MAYBE, Scope.UPSTREAM)
-    stream.append(chunk.text[n_known - chunk.offset :])
+async def _record_runs(node: Node, call: PromptCall, upstream: Upstream) -> None:
+    if not call.prefix.chain:
+        return
+    boot_id = node.probes.get_state(upstream.name).boot_id
+    run = PrefixRun(upstream.name, False, boot_id, list(call.prefix.chain), 0, 0)
+    message = RecordRuns(call.prefix.shard_key, [run])
+    await node.cluster.tell_owners(call.prefix.shard_key, message)
 
 
-def _check_version(engine_stream: EngineStream, slot: str) -> None:
-    wanted = get_weight_version(slot)
-    if engine_stream.weight_version != wanted:
-        message = f"answer by version {engine_stream.weight_version!r}, not {wanted!r}"
-        raise ApricotliftError(
-            Code.WEIGHT_VERSION_MISMATCH, message, Ran.MAYBE, Scope.UPSTREAM
+def _keep_decision(node: Node, call: PromptCall, attempt_id: str, plan: Plan) -> None:
+    version = node.get_snapshot().version
+    node.keep_decision(
+        Decision(
+            call.request_id, attempt_id, call.identity.account, version, plan.record
         )
+    )
 
 
-async def watch_attempts(node: Node) -> None:
-    """End attempts whose engine has been silent for too long.
-
-    One task for all attempts costs less than a timer for every token.
-    """
-    limits = node.settings.streams
-    while True:
-        await anyio.sleep(WATCH_INTERVAL_S)
-        now = clocks.monotonic()
-        for attempt in list(node.attempts.values()):
-            limit_s = (
-                limits.token_timeout_s
-                if attempt.has_text
-                else limits.first_token_timeout_s
-            )
-            if now - attempt.progress_at > limit_s:
-                attempt.stalled = True
-                attempt.scope.cancel()
-        node.streams.drop_expired(now)
+def _log_failure(
+    call: PromptCall, attempt_id: str, upstream: str, error: ApricotliftError
+) -> None:
+    logs.log(
+        logs.WARNING,
+        "attempt_failed",
+        request_id=call.request_id,
+        account=call.identity.account,
+        attempt=attempt_id,
+        upstream=upstream,
+        code=error.code,
+        message=error.message,
+    )
--- a/packages/apricotlift-node/src/apricotlift/node/calls.py
+++ b/packages/apricotlift-node/src/apricotlift/node/calls.py
@@ -5,11 +5,11 @@
 another upstream, within the retry budget.
 """
 
-import random
 import re
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
+from random import Random
 from urllib.parse import unquote
 
 import anyio
@@ -97,7 +97,7 @@
     is_leaving: Callable[[str], bool]
     settings: CallSettings = field(default_factory=CallSettings)
     clock: Callable[[], float] = clocks.monotonic
-    random: random.Random = field(default_factory=random.Random)
+    random: Random = field(default_factory=Random)
     n_in_flight: dict[str, int] = field(default_factory=dict)
 
 
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/cluster.py
@@ -0,0 +1,328 @@
+"""This node among the others: platform clients, peers, membership, configuration."""
+
+import random
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import Self
+
+import anyio
+from apricotlift.core import logs
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.metrics import Metrics
+from apricotlift.node.settings import NodeSettings
+from apricotlift.platform import ObjectStore, Table
+from apricotlift.state.claimbatch import Batcher
+from apricotlift.state.claims import Claims
+from apricotlift.state.follower import ConfigurationFollower, Peers
+from apricotlift.state.membership import Membership
+from apricotlift.state.prefixes import PrefixIndex
+from apricotlift.state.snapshots import Snapshot
+from apricotlift.state.suspects import Suspects
+from apricotlift.state.view import MemberState
+from apricotlift.upstreams.pool import Pool
+from apricotlift.wire.connections import PeerPool, PeerServer
+from apricotlift.wire.handshake import Identity
+from apricotlift.wire.messages import (
+    Ack,
+    ClearSuspect,
+    DocumentReply,
+    DocumentRequest,
+    FindAttempt,
+    FindAttemptReply,
+    HeadReply,
+    HeadRequest,
+    Locate,
+    LocateReply,
+    MemberSummary,
+    Message,
+    RecordAttempt,
+    RecordRuns,
+    ReportCrash,
+)
+
+PEER_TIMEOUT_S = 0.8
+MAX_ATTEMPT_HINTS = 20_000
+
+
+class Cluster:
+    """Owns what this node shares with the platform and with other nodes.
+
+    It is an async context manager; leaving it stops its tasks.
+
+    :param peer_socket: the bound socket of the peer listener.
+    :param caller_address: the address that callers are told.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        metrics: Metrics,
+        pool: Pool,
+        peer_socket: socket.socket,
+        peer_address: str,
+        caller_address: str,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ):
+        platform = settings.platform
+        self.metrics = metrics
+        self.random = random.Random()
+        self.table = Table(
+            platform.table_url,
+            platform.table_name,
+            pool,
+            metrics,
+            platform.timeout_s,
+            platform.authorization,
+        )
+        self.objects = ObjectStore(
+            platform.objects_url, pool, authorization=platform.authorization
+        )
+        secret = settings.cluster.secret.encode()
+        self.peers = PeerPool(self._get_identity, secret, metrics, client_tls)
+        self.server = PeerServer(
+            peer_socket, self._get_identity, secret, metrics, server_tls
+        )
+        own = MemberSummary(
+            settings.node.name,
+            "",
+            peer_address,
+            caller_address,
+            settings.node.failure_domain,
+            MemberState.SERVING,
+        )
+        self.membership = Membership(own, self.table, self.peers, metrics)
+        self.follower = ConfigurationFollower(
+            self.table,
+            self.objects,
+            Peers(self._choose_peers, self._request_head, self._request_document),
+            self.membership.freshness,
+            metrics,
+            self.random,
+            self._on_applied,
+        )
+        self.batcher = Batcher(self.table, metrics)
+        self.claims = Claims(
+            self.table,
+            self.objects,
+            self.batcher.write,
+            metrics,
+            settings.node.name,
+            self._get_incarnation,
+            self.is_alive,
+        )
+        self.suspects = Suspects(
+            self.table,
+            metrics,
+            settings.node.name,
+            self._get_incarnation,
+            self.is_alive,
+        )
+        self.prefixes = PrefixIndex(metrics)
+        self.attempts: dict[str, RecordAttempt] = {}
+        self._applied = anyio.Event()
+        self._stack = AsyncExitStack()
+        self._register()
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(self.peers)
+        await self._stack.enter_async_context(self.server)
+        await self._stack.enter_async_context(self.membership)
+        tasks = await self._stack.enter_async_context(anyio.create_task_group())
+        self._stack.callback(tasks.cancel_scope.cancel)
+        await tasks.start(self.batcher.run)
+        await tasks.start(self.claims.run)
+        await tasks.start(self.suspects.run)
+        tasks.start_soon(self.follower.run)
+        tasks.start_soon(self._publish_versions)
+        tasks.start_soon(self._notice_versions)
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self._stack.aclose()
+
+    @property
+    def node_id(self) -> str:
+        """This node's id."""
+        return self.membership.view.own.node_id
+
+    def is_alive(self, node_id: str, incarnation: str) -> bool:
+        """Return whether a node is heard under an incarnation."""
+        if node_id == self.node_id:
+            return incarnation == self.membership.lease.incarnation
+        member = self.membership.view.members.get(node_id)
+        return (
+            member is not None
+            and member.summary.incarnation == incarnation
+            and not self.membership.view.is_suspected(node_id)
+        )
+
+    async def publish_serving(self) -> None:
+        """Publish that this node serves again after a withdrawn drain."""
+        self.membership.lease.state = MemberState.SERVING
+        await self.membership.lease.renew()
+
+    async def ask_owners(
+        self, key: bytes | str, message: Message, timeout_s: float
+    ) -> Message | None:
+        """Return the first reply of a shard's owners, ``None`` without one in time.
+
+        This node answers itself at once where it is an owner.
+        """
+        replies: list[Message] = []
+        owners = self.membership.view.choose_owners(key)
+        with anyio.move_on_after(timeout_s):
+            async with anyio.create_task_group() as tasks:
+
+                async def ask(owner: str) -> None:
+                    reply = await self._ask_owner(owner, message, timeout_s)
+                    if reply is not None:
+                        replies.append(reply)
+                        tasks.cancel_scope.cancel()
+
+                for owner in owners:
+                    tasks.start_soon(ask, owner)
+        if not replies:
+            self.metrics.count("owner_queries_unanswered_total", kind=message.kind)
+            return None
+        return replies[0]
+
+    async def tell_owners(self, key: bytes | str, message: Message) -> None:
+        """Send a message to a shard's owners without waiting for an answer."""
+        for owner in self.membership.view.choose_owners(key):
+            if owner == self.node_id:
+                await self._handlers[type(message)](message, self._get_identity())
+                continue
+            address = self.membership.view.get_address(owner)
+            if address is not None:
+                self.peers.send(address, message)
+
+    async def _ask_owner(
+        self, owner: str, message: Message, timeout_s: float
+    ) -> Message | None:
+        if owner == self.node_id:
+            return await self._handlers[type(message)](message, self._get_identity())
+        address = self.membership.view.get_address(owner)
+        if address is None:
+            return None
+        try:
+            return await self.peers.request(address, message, timeout_s)
+        except ApricotliftError as error:
+            self.metrics.count("owner_queries_failed_total", code=error.code)
+            return None
+
+    def _register(self) -> None:
+        self._handlers: dict[
+            type[Message], Callable[[Message, Identity], Awaitable[Message | None]]
+        ] = {
+            HeadRequest: self._answer_head,
+            DocumentRequest: self._answer_document,
+            Locate: self._answer_locate,
+            RecordRuns: self._take_runs,
+            ReportCrash: self._take_crash,
+            ClearSuspect: self._take_clear,
+            RecordAttempt: self._take_attempt,
+            FindAttempt: self._answer_attempt,
+        }
+        for kind, handler in self._handlers.items():
+            self.server.register(kind, handler)
+        self.membership.register(self.server)
+
+    def _get_identity(self) -> Identity:
+        return self.membership.get_identity()
+
+    def _get_incarnation(self) -> str:
+        return self.membership.lease.incarnation
+
+    # Configuration
+
+    def _choose_peers(self, n_peers: int) -> list[str]:
+        serving = [
+            member.peer_address
+            for member in self.membership.view.get_serving()
+            if member.node_id != self.node_id
+        ]
+        return self.random.sample(serving, min(n_peers, len(serving)))
+
+    async def _request_head(self, address: str) -> HeadReply:
+        return await self._request(address, HeadRequest(), HeadReply)
+
+    async def _request_document(self, address: str, digest: str) -> DocumentReply:
+        return await self._request(address, DocumentRequest(digest), DocumentReply)
+
+    async def _request(self, address: str, message: Message, kind: type):
+        reply = await self.peers.request(address, message, PEER_TIMEOUT_S)
+        if not isinstance(reply, kind):
+            text = f"{address} answered {message.kind} with {reply.kind}"
+            raise ApricotliftError(Code.PEER_PROTOCOL, text)
+        return reply
+
+    def _on_applied(self, snapshot: Snapshot) -> None:
+        logs.log(logs.INFO, "configuration_in_force", version=snapshot.version)
+        self._applied.set()
+
+    async def _publish_versions(self) -> None:
+        published = 0
+        while True:
+            await self._applied.wait()
+            self._applied = anyio.Event()
+            while published < self.follower.version:
+                version = self.follower.version
+                if await self.membership.publish_version(version):
+                    published = version
+                else:
+                    await anyio.sleep(0.5)
+
+    async def _notice_versions(self) -> None:
+        # Gossip may name a newer version before the next poll of the head.
+        while True:
+            await anyio.sleep(0.2)
+            self.follower.notice_version(self.membership.view.newest_version)
+
+    # Handlers
+
+    async def _answer_head(self, message: HeadRequest, peer: Identity) -> HeadReply:
+        age_ms = self.membership.freshness.get_age_ms()
+        snapshot = self.follower.snapshot
+        if snapshot is None or age_ms < 0:
+            return HeadReply(0, "", 0, False)
+        return HeadReply(snapshot.version, snapshot.digest, age_ms, True)
+
+    async def _answer_document(
+        self, message: DocumentRequest, peer: Identity
+    ) -> DocumentReply:
+        body = self.follower.get_document(message.digest)
+        return DocumentReply(body is not None, body or b"")
+
+    async def _answer_locate(self, message: Locate, peer: Identity) -> LocateReply:
+        runs = self.prefixes.locate(message.shard_key, message.chain)
+        n_crashes = self.suspects.count_crashes(message.fingerprint.hex())
+        return LocateReply(runs, n_crashes, bool(runs))
+
+    async def _take_runs(self, message: RecordRuns, peer: Identity) -> None:
+        self.prefixes.record(message.shard_key, message.runs)
+
+    async def _take_crash(self, message: ReportCrash, peer: Identity) -> Ack:
+        self.suspects.note_crash(
+            message.fingerprint.hex(), message.upstream, message.boot_id
+        )
+        return Ack()
+
+    async def _take_clear(self, message: ClearSuspect, peer: Identity) -> Ack:
+        self.suspects.note_clear(message.fingerprint.hex())
+        return Ack()
+
+    async def _take_attempt(self, message: RecordAttempt, peer: Identity) -> None:
+        self.attempts[message.request_key] = message
+        while len(self.attempts) > MAX_ATTEMPT_HINTS:
+            del self.attempts[next(iter(self.attempts))]
+
+    async def _answer_attempt(
+        self, message: FindAttempt, peer: Identity
+    ) -> FindAttemptReply:
+        known = self.attempts.get(message.request_key)
+        if known is None:
+            return FindAttemptReply(False, "", "", "")
+        return FindAttemptReply(True, known.attempt_id, known.upstream, known.slot)
--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -1,6 +1,5 @@
 """The node binary ``apricotlift-node``."""
 
-import signal
 import sys
 from contextlib import AsyncExitStack
 
@@ -9,37 +8,40 @@
 from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.metrics import Metrics
-from apricotlift.node.attempts import watch_attempts
+from apricotlift.node.admin import build_admin_app
+from apricotlift.node.cluster import Cluster
+from apricotlift.node.drain import is_busy, wait_for_stop
+from apricotlift.node.placement import Placer
+from apricotlift.node.probes import Probes
+from apricotlift.node.reading import watch_attempts
 from apricotlift.node.runtime import Node
 from apricotlift.node.server import (
     Server,
     bind,
-    build_admin_app,
     build_callers_app,
     build_server,
     get_bound_address,
 )
+from apricotlift.node.services import build_call_context
 from apricotlift.node.settings import (
     NodeSettings,
     build_client_context,
     build_server_context,
     load_settings,
 )
-from apricotlift.node.snapshot import build_snapshot
 from apricotlift.node.streams import StreamRegistry
-from apricotlift.state.declarations import load_declarations
 from apricotlift.upstreams.pool import Pool
 
 EXIT_FINDINGS = 5
-STOP_POLL_S = 0.05
+_STOP_GRACE_S = 0.1
 
 
 def serve(*, settings: str) -> None:
     """Run a node until it is stopped.
 
-    SIGTERM starts a graceful stop: the node takes no new place in the list of
-    instances, serves what still arrives, and ends with its last request. A second
-    signal ends it at once.
+    SIGTERM starts a graceful stop: the node is no longer named to callers, serves
+    what still arrives, and ends with its last request. A second signal ends it at
+    once.
 
     Example: apricotlift-node serve --settings node.ini
 
@@ -73,83 +75,64 @@
 
 async def run_node(settings: NodeSettings) -> None:
     """Run a node; returns when it has stopped."""
+    metrics = Metrics()
+    callers_socket = bind(settings.listen.callers)
+    peers_socket = bind(settings.listen.peers)
+    server_tls = build_server_context(settings.tls)
     async with AsyncExitStack() as stack:
-        upstream_context = build_client_context(settings.tls.upstream_ca)
-        pool = await stack.enter_async_context(Pool(upstream_context))
+        upstream_tls = build_client_context(settings.tls.upstream_ca)
+        pool = await stack.enter_async_context(Pool(upstream_tls))
+        cluster = Cluster(
+            settings,
+            metrics,
+            pool,
+            peers_socket,
+            settings.advertise.peers or get_bound_address(peers_socket),
+            settings.advertise.callers or get_bound_address(callers_socket),
+            server_tls,
+            build_client_context(settings.tls.peer_ca),
+        )
+        await stack.enter_async_context(cluster)
         tasks = await stack.enter_async_context(anyio.create_task_group())
+        probes = Probes(settings.node.name, pool, metrics)
+        placer = Placer(cluster, probes, pool, metrics)
         streams = StreamRegistry(settings.streams.retention_s)
-        node = Node(settings, Metrics(), pool, tasks, streams)
-        declarations = load_declarations([settings.configuration.declarations])
-        node.snapshot = build_snapshot(0, declarations)
+        node = Node(settings, metrics, pool, tasks, streams, cluster, probes, placer)
+        node.calls = build_call_context(node)
         tasks.start_soon(watch_attempts, node)
+        tasks.start_soon(probes.probe_all, node.get_declarations, node.get_engine)
         servers = [
-            _start_server(node, "callers", build_callers_app(node)),
-            _start_server(node, "admin", build_admin_app(node)),
+            _start_server(node, "callers", build_callers_app(node), callers_socket),
+            _start_server(
+                node, "admin", build_admin_app(node), bind(settings.listen.admin)
+            ),
         ]
+        _log_listening("peers", peers_socket)
         await wait_for_stop(node)
-        await _stop_servers(node, servers)
+        for server in servers:
+            server.should_exit = True
+            server.force_exit = is_busy(node)
+        await anyio.sleep(_STOP_GRACE_S)
+        await cluster.membership.leave()
+        logs.log(logs.INFO, "stopped")
         tasks.cancel_scope.cancel()
 
 
-def _start_server(node: Node, name: str, app) -> Server:
-    listener = bind(getattr(node.settings.listen, name))
-    address = get_bound_address(listener)
-    node.addresses[name] = address
+def _start_server(node: Node, name: str, app, listener) -> Server:
     context = build_server_context(node.settings.tls)
     server = build_server(app, context, node.settings.border.max_header_bytes)
     node.tasks.start_soon(_run_server, server, listener)
-    logs.log(logs.INFO, "listening", listener=name, address=address)
+    _log_listening(name, listener)
     return server
 
 
-async def _run_server(server: Server, listener) -> None:
-    await server.serve(sockets=[listener])
-
-
-async def wait_for_stop(node: Node) -> None:
-    """Wait for a stop signal and for the graceful stop that follows."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logs.log(logs.INFO, "stopping", signal=signal.Signals(number).name)
-            break
-        node.is_draining = True
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_on_signal, signals, tasks.cancel_scope)
-            with anyio.move_on_after(_get_deadline_s(node)):
-                await anyio.sleep(node.settings.stop.linger_s)
-                while node.n_open_requests or node.streams.n_running:
-                    await anyio.sleep(STOP_POLL_S)
-            tasks.cancel_scope.cancel()
-    if node.n_open_requests or node.streams.n_running:
-        running = [
-            stream.request_id
-            for stream in node.streams.streams.values()
-            if not stream.is_finished
-        ]
-        logs.log(
-            logs.WARNING,
-            "stop_cuts_requests",
-            n_open_requests=node.n_open_requests,
-            request_ids=running,
-        )
-
-
-async def _cancel_on_signal(signals, scope: anyio.CancelScope) -> None:
-    async for number in signals:
-        logs.log(logs.WARNING, "second_signal", signal=signal.Signals(number).name)
-        scope.cancel()
-        return
-
-
-def _get_deadline_s(node: Node) -> float:
-    return node.settings.stop.deadline_s or float("inf")
+def _log_listening(name: str, listener) -> None:
+    address = get_bound_address(listener)
+    logs.log(logs.INFO, "listening", listener=name, address=address)
 
 
-async def _stop_servers(node: Node, servers: list[Server]) -> None:
-    for server in servers:
-        server.should_exit = True
-        server.force_exit = bool(node.n_open_requests)
-    await anyio.sleep(2 * STOP_POLL_S)
+async def _run_server(server: Server, listener) -> None:
+    await server.serve(sockets=[listener])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/probes.py
@@ -0,0 +1,245 @@
+"""What this node knows of its upstreams: state, load, placements, breakers.
+
+A node probes only a subset of the upstreams, chosen by rendezvous hashing of its own
+id, so that the cost of probing doesn't grow with the fleet. Upstreams outside the
+subset are used where a hint says that they hold the prompt.
+"""
+
+import random
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import anyio
+from apricotlift.core import clocks, logs
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.hashing import rank_nodes
+from apricotlift.core.metrics import Metrics
+from apricotlift.policy.accuracy import AccuracySettings, StoreAccuracy
+from apricotlift.policy.breaker import Breaker, BreakerSettings
+from apricotlift.policy.estimates import Placement
+from apricotlift.policy.retries import RetryBudget, RetrySettings
+from apricotlift.state.declarations import Declarations, Upstream
+from apricotlift.upstreams.engine import EngineClient, EngineHealth, EngineLoad
+from apricotlift.upstreams.pool import Pool, Timeouts
+
+PROBE_INTERVAL_S = 1.0
+MAX_PROBED = 12
+_SERVICE_TIMEOUTS = Timeouts(1.0, 2.0, 2.0)
+_JITTER = 0.2
+#: A placement older than this is in every load report that still matters.
+_PLACEMENT_S = 30.0
+_LEARNING_RATE = 0.1
+
+
+@dataclass
+class Placed:
+    """A request that this node started at an engine."""
+
+    started_at: float
+    n_tokens: float
+
+
+@dataclass
+class UpstreamState:
+    """One upstream, as far as this node knows.
+
+    :param is_leaving: it says so itself, by probe or by response header.
+    :param is_listed_leaving: the platform's live list says so.
+    :param load_at: when the present load report was first seen.
+    :param p_cached: learned share of hints that proved true.
+    """
+
+    name: str
+    boot_id: str = ""
+    is_leaving: bool = False
+    is_listed_leaving: bool = False
+    is_reachable: bool = True
+    health: EngineHealth | None = None
+    load: EngineLoad | None = None
+    load_at: float = 0.0
+    placed: deque[Placed] = field(default_factory=deque)
+    p_cached: float | None = None
+    uncached_share: float = 1.0
+    breaker: Breaker = field(default_factory=lambda: Breaker(BreakerSettings()))
+
+    def add_placement(self, now: float, n_tokens: float) -> None:
+        """Note a request that starts now."""
+        self.placed.append(Placed(now, n_tokens))
+        while self.placed and now - self.placed[0].started_at > _PLACEMENT_S:
+            self.placed.popleft()
+
+    def build_placements(self, now: float) -> tuple[Placement, ...]:
+        """Return what was started since the load report."""
+        return tuple(
+            Placement(now - item.started_at, item.n_tokens)
+            for item in self.placed
+            if item.started_at > self.load_at
+        )
+
+    def learn_reuse(self, n_expected: int, n_found: int) -> None:
+        """Note how many of the hinted tokens the engine really had cached."""
+        if n_expected <= 0:
+            return
+        share = min(1.0, n_found / n_expected)
+        known = 1.0 if self.p_cached is None else self.p_cached
+        self.p_cached = known + _LEARNING_RATE * (share - known)
+
+    def see_boot(self, boot_id: str) -> bool:
+        """Note a boot id; return whether the process is a new one."""
+        if not boot_id or boot_id == self.boot_id:
+            return False
+        was_known = bool(self.boot_id)
+        self.boot_id = boot_id
+        self.load = None
+        self.placed.clear()
+        if was_known:
+            # A new process doesn't inherit the old one's leaving state.
+            self.is_leaving = False
+            self.is_listed_leaving = False
+            self.breaker = Breaker(BreakerSettings())
+        return was_known
+
+
+class Probes:
+    """The states of all upstreams, and the tasks that probe some of them."""
+
+    def __init__(self, node_id: str, pool: Pool, metrics: Metrics):
+        self.states: dict[str, UpstreamState] = {}
+        self.accuracy: dict[str, StoreAccuracy] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self._node_id = node_id
+        self._pool = pool
+        self._metrics = metrics
+        self._random = random.Random()
+
+    def get_state(self, name: str) -> UpstreamState:
+        """Return the state of an upstream, a new one where it is unknown."""
+        state = self.states.get(name)
+        if state is None:
+            state = self.states[name] = UpstreamState(name)
+        return state
+
+    def get_accuracy(self, store: str) -> StoreAccuracy:
+        """Return the accuracy tracker of a store."""
+        if store not in self.accuracy:
+            self.accuracy[store] = StoreAccuracy(AccuracySettings())
+        return self.accuracy[store]
+
+    def get_budget(self, group: str) -> RetryBudget:
+        """Return the retry budget of a model or service."""
+        if group not in self.budgets:
+            self.budgets[group] = RetryBudget(RetrySettings())
+        return self.budgets[group]
+
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether an upstream takes no new work; any one source suffices."""
+        state = self.get_state(upstream.name)
+        return upstream.drain or state.is_leaving or state.is_listed_leaving
+
+    def choose_probed(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
+        """Return the upstreams that this node probes.
+
+        Ranked by a hash of node and upstream, so that nodes choose different ones.
+        """
+        by_name = {upstream.name: upstream for upstream in upstreams}
+        ranked = rank_nodes(f"probe/{self._node_id}", by_name)
+        return [by_name[name] for name in ranked[:MAX_PROBED]]
+
+    async def probe_all(self, get_declarations, get_engine) -> None:
+        """Probe the chosen upstreams for ever, each in a task of its own."""
+        running: dict[str, anyio.CancelScope] = {}
+        async with anyio.create_task_group() as tasks:
+            while True:
+                declarations: Declarations | None = get_declarations()
+                wanted: dict[str, Upstream] = {}
+                if declarations is not None:
+                    for kind in ("engine", "service"):
+                        chosen = self.choose_probed(
+                            item
+                            for item in declarations.upstreams.values()
+                            if item.kind == kind
+                        )
+                        wanted.update((item.name, item) for item in chosen)
+                for name in list(running):
+                    if name not in wanted:
+                        running.pop(name).cancel()
+                for name in wanted:
+                    if name not in running:
+                        scope = running[name] = anyio.CancelScope()
+                        tasks.start_soon(
+                            self._keep_probing,
+                            name,
+                            scope,
+                            get_declarations,
+                            get_engine,
+                        )
+                await anyio.sleep(PROBE_INTERVAL_S)
+
+    async def _keep_probing(self, name: str, scope, get_declarations, get_engine):
+        with scope:
+            while True:
+                upstream = get_declarations().upstreams.get(name)
+                if upstream is None:
+                    return
+                if upstream.kind == "engine":
+                    await self._probe_engine(upstream, get_engine(upstream))
+                else:
+                    await self._probe_service(upstream)
+                pause_s = PROBE_INTERVAL_S * self._random.uniform(
+                    1 - _JITTER, 1 + _JITTER
+                )
+                await anyio.sleep(pause_s)
+
+    async def _probe_engine(self, upstream: Upstream, engine: EngineClient) -> None:
+        state = self.get_state(upstream.name)
+        try:
+            health = await engine.get_health()
+            load = await engine.get_load()
+        except ApricotliftError as error:
+            self._note_unreachable(state, error)
+            return
+        state.is_reachable = True
+        if state.see_boot(health.boot_id):
+            logs.log(logs.INFO, "upstream_restarted", upstream=upstream.name)
+        state.health = health
+        self.note_state(upstream.name, health.state)
+        if state.load is None or load.as_of_ms != state.load.as_of_ms:
+            state.load = load
+            state.load_at = clocks.monotonic()
+
+    async def _probe_service(self, upstream: Upstream) -> None:
+        state = self.get_state(upstream.name)
+        scheme = "https" if upstream.tls else "http"
+        url = f"{scheme}://{upstream.address}/health"
+        try:
+            response = await self._pool.request(
+                "GET", url, timeouts=_SERVICE_TIMEOUTS, max_bytes=65_536
+            )
+        except ApricotliftError as error:
+            self._note_unreachable(state, error)
+            return
+        state.is_reachable = True
+        is_leaving = response.status == 503 and b"draining" in response.body
+        self.note_state(upstream.name, "draining" if is_leaving else "serving")
+
+    def note_state(self, name: str, word: str) -> None:
+        """Note what an upstream says of itself."""
+        state = self.get_state(name)
+        is_leaving = word == "draining"
+        if is_leaving != state.is_leaving:
+            state.is_leaving = is_leaving
+            self._metrics.count("upstream_state_changes_total", state=word)
+            logs.log(logs.INFO, "upstream_state", upstream=name, state=word)
+
+    def _note_unreachable(self, state: UpstreamState, error: ApricotliftError) -> None:
+        if state.is_reachable:
+            logs.log(
+                logs.WARNING,
+                "upstream_unreachable",
+                upstream=state.name,
+                code=error.code,
+                message=error.message,
+            )
+        state.is_reachable = error.code is not Code.UPSTREAM_CONNECT
+        self._metrics.count("probe_failures_total", code=error.code)
--- a/packages/apricotlift-node/src/apricotlift/node/prompts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/prompts.py
@@ -25,10 +25,14 @@
     send_json,
     send_start,
 )
-from apricotlift.node.recovery import find_stream
+from apricotlift.node.identity import Identity
+from apricotlift.node.placement import BYTES_PER_TOKEN, Prefix
+from apricotlift.node.recovery import find_known_stream, find_stream
 from apricotlift.node.runtime import Node
-from apricotlift.node.snapshot import Identity
 from apricotlift.node.streams import StreamState
+from apricotlift.state.declarations import Fleet
+from apricotlift.state.prefixes import build_chain
+from apricotlift.state.suspects import build_fingerprint
 from apricotlift.upstreams.sse import format_event
 
 MAX_REQUEST_ID_CHARACTERS = 128
@@ -96,8 +100,11 @@
     offset = read_offset(request, request_id)
     call = _build_call(node, identity, request, body, request_id, is_chat)
     stream = node.streams.get(call.request_key)
-    if stream is None and "last-event-id" in request.headers:
-        stream = await _adopt(node, call)
+    if stream is None and "x-request-id" in request.headers:
+        # A request id that its caller chose may be a repeat of a request that
+        # another node serves. Without an offset only the owners are asked.
+        is_resumed = "last-event-id" in request.headers
+        stream = await _adopt(node, call, ask_engines=is_resumed)
     if stream is None:
         stream = _start(node, call)
     elif stream.body_digest != call.body_digest:
@@ -220,6 +227,7 @@
         max_tokens,
         build_cache_salt(node.settings.cluster.secret, identity.account, slot),
         clocks.monotonic() + _read_deadline_s(request, declarations.fleet),
+        _build_prefix(identity, body, prompt, slot, declarations.fleet),
         _read_priority(request),
         body.seed,
         body.temperature,
@@ -248,8 +256,8 @@
 def _start(
     node: Node, call: PromptCall, kept: KeptAttempt | None = None
 ) -> StreamState:
-    if node.admit is not None and kept is None:
-        node.admit(call.identity)
+    if kept is None:
+        node.begin(call.identity)
     stream = StreamState(
         call.request_id,
         call.request_key,
@@ -276,10 +284,14 @@
     return stream
 
 
-async def _adopt(node: Node, call: PromptCall) -> StreamState | None:
+async def _adopt(
+    node: Node, call: PromptCall, ask_engines: bool = True
+) -> StreamState | None:
     """Take over the stream that another node has started, if an engine has it."""
-    account = node.get_snapshot().declarations.accounts[call.identity.account]
-    found = await find_stream(node, call.request_key, account.models)
+    found = await find_known_stream(node, call.request_key)
+    if found is None and ask_engines:
+        account = node.get_snapshot().declarations.accounts[call.identity.account]
+        found = await find_stream(node, call.request_key, account.models)
     # Another connection of the same caller may have adopted it meanwhile.
     held = node.streams.get(call.request_key)
     if held is not None or found is None:
@@ -308,11 +320,22 @@
     deadline_ms = node.get_snapshot().declarations.fleet.default_deadline_ms
     request_key = build_request_key(identity.account, request_id)
     deadline = clocks.monotonic() + deadline_ms / 1000
+    prefix = Prefix(b"", (), b"", 0)
     return PromptCall(
-        identity, request_id, request_key, "", "", "", "", 0, "", deadline
+        identity, request_id, request_key, "", "", "", "", 0, "", deadline, prefix
     )
 
 
+def _build_prefix(
+    identity: Identity, body: PromptBody, prompt: str, slot: str, fleet: Fleet
+) -> Prefix:
+    chain = build_chain(identity.account, slot, prompt, fleet.piece_bytes)
+    fields = body.model_dump(exclude={"stream"})
+    fingerprint = bytes.fromhex(build_fingerprint(identity.account, body.model, fields))
+    n_tokens = max(1, len(prompt.encode()) // BYTES_PER_TOKEN)
+    return Prefix(chain[0] if chain else fingerprint, chain, fingerprint, n_tokens)
+
+
 async def _send_stream(
     node: Node,
     stream: StreamState,
--- a/packages/apricotlift-node/src/apricotlift/node/recovery.py
+++ b/packages/apricotlift-node/src/apricotlift/node/recovery.py
@@ -13,11 +13,13 @@
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.hashing import rank_nodes
 from apricotlift.node.runtime import Node
-from apricotlift.node.snapshot import Snapshot
 from apricotlift.state.declarations import Upstream
+from apricotlift.state.snapshots import Snapshot
 from apricotlift.upstreams.engine import KeptStream
+from apricotlift.wire.messages import FindAttempt, FindAttemptReply
 
 MAX_CONCURRENT_QUERIES = 3
+OWNER_TIMEOUT_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -38,6 +40,26 @@
         return int(self.kept.attempt_id.split(".")[2])
 
 
+async def find_known_stream(node: Node, request_key: str) -> FoundStream | None:
+    """Ask the owners of a request key, and verify their answer at the engine."""
+    reply = await node.cluster.ask_owners(
+        request_key, FindAttempt(request_key), OWNER_TIMEOUT_S
+    )
+    if not isinstance(reply, FindAttemptReply) or not reply.found:
+        return None
+    upstream = node.get_snapshot().declarations.upstreams.get(reply.upstream)
+    if upstream is None:
+        return None
+    try:
+        kept = await node.get_engine(upstream).find_streams(request_key)
+    except ApricotliftError as error:
+        node.metrics.count("stream_queries_failed_total", reason=error.code)
+        return None
+    found = [FoundStream(upstream, item) for item in kept]
+    valid = [item for item in found if _is_valid(item, request_key)]
+    return max(valid, key=_rank, default=None)
+
+
 async def find_stream(
     node: Node, request_key: str, models: Iterable[str]
 ) -> FoundStream | None:
--- a/packages/apricotlift-node/src/apricotlift/node/runtime.py
+++ b/packages/apricotlift-node/src/apricotlift/node/runtime.py
@@ -1,20 +1,31 @@
 """The parts of a running node, handed whole to the modules that serve requests."""
 
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
 from apricotlift.core import clocks
-from apricotlift.core.errors import ApricotliftError, Code, Scope
 from apricotlift.core.metrics import Metrics
+from apricotlift.node.calls import CallContext
+from apricotlift.node.cluster import Cluster
+from apricotlift.node.identity import Identity
+from apricotlift.node.placement import Placer
+from apricotlift.node.probes import Probes
 from apricotlift.node.settings import NodeSettings
-from apricotlift.node.snapshot import Identity, Snapshot
 from apricotlift.node.streams import StreamRegistry
-from apricotlift.state.declarations import Upstream
+from apricotlift.policy.limits import Limits, LimitState, Quota
+from apricotlift.policy.routing import DecisionRecord
+from apricotlift.state.declarations import Declarations, Upstream
+from apricotlift.state.snapshots import Snapshot
 from apricotlift.upstreams.engine import EngineClient
 from apricotlift.upstreams.pool import Pool
 
+#: Decisions that ``explain`` can show.
+MAX_DECISIONS = 2_000
+
 
 @dataclass
 class Attempt:
@@ -32,6 +43,17 @@
     stalled: bool = False
 
 
+@dataclass(frozen=True)
+class Decision:
+    """A decision that was taken for a request, kept for ``explain``."""
+
+    request_id: str
+    attempt_id: str
+    account: str
+    version: int
+    record: DecisionRecord
+
+
 @dataclass
 class Node:
     """One node process."""
@@ -41,14 +63,18 @@
     pool: Pool
     tasks: TaskGroup
     streams: StreamRegistry
-    snapshot: Snapshot | None = None
+    cluster: Cluster
+    probes: Probes
+    placer: Placer
+    calls: CallContext | None = None
+    limits: Limits = field(default_factory=Limits)
     is_draining: bool = False
+    drain_changed: anyio.Event = field(default_factory=anyio.Event)
     started_at: float = field(default_factory=clocks.monotonic)
     attempts: dict[str, Attempt] = field(default_factory=dict)
     in_flight: dict[str, int] = field(default_factory=dict)
     n_open_requests: int = 0
-    addresses: dict[str, str] = field(default_factory=dict)
-    admit: Callable[[Identity], None] | None = None
+    decisions: OrderedDict[str, list[Decision]] = field(default_factory=OrderedDict)
     _engines: dict[str, EngineClient] = field(default_factory=dict)
 
     def get_snapshot(self) -> Snapshot:
@@ -56,12 +82,12 @@
 
         :raises ApricotliftError: ``no_config`` before the first one is there.
         """
-        if self.snapshot is None:
-            message = "this node has no configuration yet"
-            raise ApricotliftError(
-                Code.NO_CONFIG, message, scope=Scope.NODE, retry_after_s=1.0
-            )
-        return self.snapshot
+        return self.cluster.follower.get_snapshot()
+
+    def get_declarations(self) -> Declarations | None:
+        """Return the declarations in force, ``None`` before the first."""
+        snapshot = self.cluster.follower.snapshot
+        return snapshot.declarations if snapshot else None
 
     def get_engine(self, upstream: Upstream) -> EngineClient:
         """Return the client of an engine, a new one when its address has changed."""
@@ -76,3 +102,50 @@
             )
             self._engines[upstream.name] = client
         return client
+
+    def begin(self, identity: Identity) -> LimitState:
+        """Admit one request, or refuse it.
+
+        Every admitted request is given back by :meth:`end`.
+
+        :raises ApricotliftError: ``config_uncertain`` or a limit; not run.
+        """
+        self.cluster.membership.check_admission()
+        declarations = self.get_snapshot().declarations
+        n_named = declarations.fleet.n_named_instances
+        n_serving = len(self.cluster.membership.view.get_eligible())
+        n_parts = max(1, min(n_named, n_serving))
+
+        def build_quota(prefix: str) -> Quota:
+            def get(name: str) -> float:
+                return declarations.get_setting(identity.account, prefix + name)
+
+            whole = Quota(get("rate_per_s"), get("burst"), int(get("max_in_flight")))
+            return whole.divide(n_parts)
+
+        return self.limits.begin(
+            identity.account,
+            identity.consumer,
+            build_quota(""),
+            build_quota("consumer_"),
+            clocks.monotonic(),
+        )
+
+    def end(self, identity: Identity) -> None:
+        """Give back what :meth:`begin` took."""
+        self.limits.end(identity.account, identity.consumer)
+
+    @contextmanager
+    def hold(self, identity: Identity) -> Iterator[LimitState]:
+        """Admit one request for the time of a block."""
+        state = self.begin(identity)
+        try:
+            yield state
+        finally:
+            self.end(identity)
+
+    def keep_decision(self, decision: Decision) -> None:
+        """Keep a decision for ``explain``."""
+        self.decisions.setdefault(decision.request_id, []).append(decision)
+        while len(self.decisions) > MAX_DECISIONS:
+            self.decisions.popitem(last=False)
--- a/packages/apricotlift-node/src/apricotlift/node/server.py
+++ b/packages/apricotlift-node/src/apricotlift/node/server.py
@@ -15,10 +15,11 @@
     read_headers,
     send_error,
     send_json,
-    send_start,
 )
+from apricotlift.node.directory import build_instances_body, list_instances
+from apricotlift.node.identity import Identity, authenticate
 from apricotlift.node.runtime import Node
-from apricotlift.node.snapshot import Identity, authenticate
+from apricotlift.node.services import handle_call
 
 _BACKLOG = 2048
 
@@ -89,7 +90,7 @@
             request_id = headers.get("x-request-id")
             request = HttpRequest(
                 scope["method"],
-                scope["path"],
+                scope["raw_path"].decode("latin-1"),
                 scope["query_string"].decode("latin-1"),
                 headers,
                 receive,
@@ -131,6 +132,14 @@
                 await prompts.handle_cancel(node, identity, send, request_id)
             else:
                 await prompts.handle_state(node, identity, send, request_id)
+        case ["v1", "services", service, _, *_]:
+            path = "/" + request.path.split("/", 4)[4]
+            await handle_call(node, identity, request, send, service, path)
+        case ["v1", "instances"]:
+            _require(request, "GET")
+            fleet = snapshot.declarations.fleet
+            members = list_instances(node.cluster, identity.account, fleet)
+            await send_json(send, 200, build_instances_body(members, fleet))
         case ["v1", "models"]:
             _require(request, "GET")
             await _send_models(node, identity, send)
@@ -148,30 +157,6 @@
     await send_json(send, 200, {"object": "list", "data": data})
 
 
-def build_admin_app(node: Node):
-    """Return the ASGI app of the admin listener."""
-
-    async def app(scope, receive, send) -> None:
-        if scope["type"] != "http":
-            return
-        if scope["path"] == "/metrics":
-            body = node.metrics.render().encode()
-            headers = {
-                "content-type": "text/plain; version=0.0.4",
-                "content-length": str(len(body)),
-            }
-            await send_start(send, 200, headers)
-            await send({"type": "http.response.body", "body": body})
-        elif scope["path"] == "/health":
-            state = "draining" if node.is_draining else "serving"
-            await send_json(send, 200, {"state": state})
-        else:
-            error = ApricotliftError(Code.NOT_FOUND, f"no path {scope['path']!r}")
-            await send_error(send, error)
-
-    return app
-
-
 def _require(request: HttpRequest, *methods: str) -> None:
     if request.method not in methods:
         message = f"expected {' or '.join(methods)}, got {request.method}"
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/services.py
@@ -0,0 +1,69 @@
+"""HTTP handler of routed calls to plain services."""
+
+from apricotlift.core import clocks
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.node.border import HttpRequest, Send, read_body, send_start
+from apricotlift.node.calls import CallContext, ServiceCall, run_call
+from apricotlift.node.identity import Identity
+from apricotlift.node.runtime import Node
+
+
+def build_call_context(node: Node) -> CallContext:
+    """Return what this node's routed calls share."""
+
+    def is_leaving(name: str) -> bool:
+        upstream = node.get_snapshot().declarations.upstreams.get(name)
+        return upstream is None or node.probes.is_leaving(upstream)
+
+    def take_retry(service: str) -> bool:
+        return node.probes.get_budget(service).take()
+
+    return CallContext(
+        node.pool, node.cluster.claims, node.metrics, take_retry, is_leaving
+    )
+
+
+async def handle_call(
+    node: Node,
+    identity: Identity,
+    request: HttpRequest,
+    send: Send,
+    service: str,
+    path: str,
+) -> None:
+    """Serve ``ANY /v1/services/{service}/{path}``.
+
+    :param path: as the caller sent it, with its leading slash.
+    """
+    body = await read_body(request, node.settings.border)
+    call = ServiceCall(
+        identity.account,
+        service,
+        request.method,
+        path,
+        request.query,
+        request.headers,
+        body,
+        request.headers.get("idempotency-key", ""),
+        _read_deadline_at(request),
+    )
+    node.probes.get_budget(service).add_first_attempt()
+    with node.hold(identity):
+        answer = await run_call(call, node.get_snapshot().declarations, node.calls)
+    headers = dict(answer.headers)
+    headers["content-length"] = str(len(answer.body))
+    headers["x-replayed"] = "yes" if answer.is_replay else "no"
+    if answer.key_expires_at_ms:
+        headers["x-idempotency-key-expires-at-ms"] = str(answer.key_expires_at_ms)
+    await send_start(send, answer.status, headers)
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+def _read_deadline_at(request: HttpRequest) -> float | None:
+    value = request.headers.get("x-deadline-ms")
+    if value is None:
+        return None
+    if not value.isdigit() or not 0 < int(value) <= 86_400_000:
+        message = f"x-deadline-ms must be 1 to 86400000, got {value!r}"
+        raise ApricotliftError(Code.BAD_REQUEST, message)
+    return clocks.monotonic() + int(value) / 1000
--- a/packages/apricotlift-node/src/apricotlift/node/settings.py
+++ b/packages/apricotlift-node/src/apricotlift/node/settings.py
@@ -47,23 +47,20 @@
     peers: str = ""
 
 
+Url = Annotated[str, Field(pattern=r"^https?://")]
+
+
 class PlatformModel(BaseModel):
     """``[platform]``."""
 
-    table_url: str = ""
+    table_url: Url
     table_name: str = "apricotlift"
-    objects_url: str = ""
+    objects_url: Url
     livelist_url: str = ""
     authorization: str = ""
     timeout_s: Seconds = 0.8
 
 
-class ConfigurationModel(BaseModel):
-    """``[configuration]``."""
-
-    declarations: str = ""
-
-
 class ClusterModel(BaseModel):
     """``[cluster]``."""
 
@@ -80,9 +77,13 @@
 
 
 class StopModel(BaseModel):
-    """``[stop]``; a deadline of 0 means none."""
+    """``[stop]``.
+
+    A deadline of 0 means none. A negative linger time means the age of callers'
+    answers plus the time in which the state spreads.
+    """
 
-    linger_s: Annotated[float, Field(ge=0)] = 35.0
+    linger_s: float = -1.0
     deadline_s: Annotated[float, Field(ge=0)] = 0.0
 
 
@@ -109,10 +110,9 @@
 
     node: NodeModel
     cluster: ClusterModel
+    platform: PlatformModel
     listen: ListenModel = field(default_factory=ListenModel)
     advertise: AdvertiseModel = field(default_factory=AdvertiseModel)
-    platform: PlatformModel = field(default_factory=PlatformModel)
-    configuration: ConfigurationModel = field(default_factory=ConfigurationModel)
     border: BorderModel = field(default_factory=BorderModel)
     stop: StopModel = field(default_factory=StopModel)
     tls: TlsModel = field(default_factory=TlsModel)
@@ -125,13 +125,12 @@
     "listen": ListenModel,
     "advertise": AdvertiseModel,
     "platform": PlatformModel,
-    "configuration": ConfigurationModel,
     "border": BorderModel,
     "stop": StopModel,
     "tls": TlsModel,
     "streams": StreamsModel,
 }
-_REQUIRED = ("node", "cluster")
+_REQUIRED = ("node", "cluster", "platform")
 
 
 def load_settings(path: str | Path) -> NodeSettings:
@@ -164,15 +163,6 @@
 def _check_together(
     built: dict[str, BaseModel], sections: dict[str, IniSection], findings: Findings
 ) -> None:
-    platform = built.get("platform", PlatformModel())
-    configuration = built.get("configuration", ConfigurationModel())
-    if not platform.table_url and not configuration.declarations and not findings:
-        place = Place(next(iter(sections.values())).file if sections else "")
-        message = "either [platform] table_url or [configuration] declarations"
-        findings.add(place, "missing", f"{message} is needed")
-    if platform.table_url and not platform.objects_url:
-        place = sections["platform"].get_place("table_url")
-        findings.add(place, "missing", "table_url needs objects_url")
     tls = built.get("tls", TlsModel())
     if bool(tls.certificate) != bool(tls.private_key):
         place = sections["tls"].get_place()
--- a/packages/apricotlift-node/src/apricotlift/node/streams.py
+++ b/packages/apricotlift-node/src/apricotlift/node/streams.py
@@ -43,6 +43,7 @@
     slot: str
     attempt_id: str = ""
     upstream: str = ""
+    boot_id: str = ""
     finish_reason: str | None = None
     usage: Usage | None = None
     error: ApricotliftError | None = None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,9 +2,16 @@
 
 import hashlib
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import anyio
 import httpcore
+from apricotlift.core.metrics import Metrics
+from apricotlift.platform import ObjectStore, Table
+from apricotlift.state.configuration import Proposal, apply_change, read_head
+from apricotlift.state.declarations import Declarations, parse_declarations
+from apricotlift.upstreams.pool import Pool
 
 from standins.processes import Process, Processes
 
@@ -90,29 +97,94 @@
         )
         return process
 
-    def write_declarations(self) -> str:
-        """Write the declarations; return the path."""
-        path = self.processes.write_file("declarations.ini", "\n".join(self.sections))
-        return str(path)
+    def start_platform(self) -> Process:
+        """Start the stand-in of the platform."""
+        process = self.processes.start_module(
+            "platform", "standins.platform", "--name", "platform"
+        )
+        self.addresses["platform"] = process.get_address()
+        return process
 
-    def start_node(self, name: str, domain: str = "z1", **sections: str) -> Process:
-        """Start a node on the declarations, with further settings sections."""
-        text = (
-            f"[node]\nname = {name}\nfailure_domain = {domain}\n"
-            f"[cluster]\nsecret = {CLUSTER_SECRET}\n"
+    def apply_declarations(self, message: str = "test") -> int:
+        """Commit the declarations as the next version; return it."""
+        declarations = parse_declarations("\n".join(self.sections))
+        return anyio.run(self._apply, declarations, message)
+
+    async def _apply(self, declarations: Declarations, message: str) -> int:
+        metrics = Metrics()
+        url = f"http://{self.addresses['platform']}"
+        async with Pool() as pool:
+            table = Table(url, "apricotlift", pool, metrics)
+            objects = ObjectStore(f"{url}/objects", pool)
+            head = await read_head(table)
+            proposal = Proposal(declarations, head.version, "tests", message)
+            committed = await apply_change(table, objects, metrics, proposal)
+        return committed.version
+
+    def launch_node(
+        self,
+        name: str,
+        domain: str = "z1",
+        platform: str = "platform",
+        **sections: str,
+    ) -> Process:
+        """Start a node and don't wait for it.
+
+        :param platform: name of the process through which it sees the platform.
+        :param sections: further settings, the body of each section by its name.
+        """
+        url = f"http://{self.addresses[platform]}"
+        defaults = {
+            "node": f"name = {name}\nfailure_domain = {domain}",
+            "cluster": f"secret = {CLUSTER_SECRET}",
+            "platform": f"table_url = {url}\nobjects_url = {url}/objects",
+            "stop": "linger_s = 0",
+        }
+        text = "".join(
+            f"[{section}]\n{body}\n"
+            for section, body in {**defaults, **sections}.items()
         )
-        if "platform" not in sections:
-            text += f"[configuration]\ndeclarations = {self.write_declarations()}\n"
-        for section, body in {"stop": "linger_s = 0", **sections}.items():
-            text += f"[{section}]\n{body}\n"
         path = self.processes.write_file(f"{name}.ini", text)
-        process = self.processes.start_module(
+        self.nodes[name] = self.processes.start_module(
             name, "apricotlift.node.main", "serve", "--settings", str(path)
         )
-        self.addresses[name] = process.get_address("callers")
-        self.addresses[f"{name}-admin"] = process.get_address("admin")
-        self.nodes[name] = process
-        return process
+        return self.nodes[name]
+
+    def wait_for_node(self, name: str) -> None:
+        """Wait until a node listens and has a configuration."""
+        process = self.nodes[name]
+        for listener in ("callers", "admin", "peers"):
+            suffix = "" if listener == "callers" else f"-{listener}"
+            self.addresses[f"{name}{suffix}"] = process.get_address(listener)
+        process.wait_for_event("configuration_in_force")
+
+    def start_node(self, name: str, domain: str = "z1", **sections: str) -> Process:
+        """Start a node and wait until it serves."""
+        if "platform" not in self.addresses:
+            self.start_platform()
+            self.add_operator()
+            self.apply_declarations()
+        self.launch_node(name, domain, **sections)
+        self.wait_for_node(name)
+        return self.nodes[name]
+
+    def start_nodes(self, names: Iterable[str], domains: int = 2) -> None:
+        """Start several nodes at once, spread over failure domains."""
+        names = list(names)
+        for number, name in enumerate(names):
+            self.launch_node(name, f"z{number % domains + 1}")
+        for name in names:
+            self.wait_for_node(name)
+
+    def add_operator(self) -> None:
+        """Declare the operator whose key the tests use."""
+        digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        self.sections.append(f"[operator tests]\nsha256 = {digest}\n")
+
+    def administer(self, node: str, method: str, path: str) -> Answer:
+        """Call a node's admin listener with the operator's key."""
+        headers = {"authorization": f"Bearer {OPERATOR_KEY}"}
+        return self.request(f"{node}-admin", method, path, headers=headers)
 
     def request(
         self,
@@ -161,7 +233,7 @@
 
     def read_metrics(self, node: str) -> dict[str, float]:
         """Return a node's metrics by their full name with labels."""
-        text = self.request(f"{node}-admin", "GET", "/metrics").body.decode()
+        text = self.administer(node, "GET", "/metrics").body.decode()
         values = {}
         for line in text.splitlines():
             if line and not line.startswith("#"):
