--- a/packages/apricotlift-node/src/apricotlift/node/callheaders.py
+++ b/packages/apricotlift-node/src/apricotlift/node/callheaders.py
@@ -2,29 +2,15 @@
 
 from collections.abc import Mapping
 
-INTERNAL_PREFIX = "x-apricotlift-"
+from apricotlift.upstreams.service import HOP_HEADERS
 
-#: RFC 9110 section 7.6.1, and the older names that proxies also drop.
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+INTERNAL_PREFIX = "x-apricotlift-"
 
-#: The caller's key is for this system alone. Host, length and deadline are set
-#: anew for the upstream.
+#: The caller's key is for this system alone. Deadline and idempotency key are set
+#: anew, and must not be dropped again because a caller's connection header names them.
 _REPLACED_IN_REQUESTS = frozenset(
-    {"authorization", "host", "content-length", "expect", "x-deadline-ms"}
+    {"authorization", "expect", "idempotency-key", "x-deadline-ms"}
 )
-_REPLACED_IN_ANSWERS = frozenset({"content-length"})
 
 
 def strip_request(headers: Mapping[str, str]) -> dict[str, str]:
@@ -40,12 +26,12 @@
 
 def strip_answer(headers: Mapping[str, str]) -> dict[str, str]:
     """Return the headers of an upstream's answer that the caller receives."""
-    return _strip(headers, _REPLACED_IN_ANSWERS)
+    return _strip(headers, frozenset())
 
 
 def _strip(headers: Mapping[str, str], replaced: frozenset[str]) -> dict[str, str]:
     named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
-    dropped = _HOP_BY_HOP | replaced | named
+    dropped = HOP_HEADERS | replaced | named
     return {
         name: value
         for name, value in headers.items()
--- a/packages/apricotlift-node/src/apricotlift/node/calls.py
+++ b/packages/apricotlift-node/src/apricotlift/node/calls.py
@@ -5,11 +5,11 @@
 another upstream, within the retry budget.
 """
 
-import random
 import re
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
+from random import Random
 from urllib.parse import unquote
 
 import anyio
@@ -18,18 +18,22 @@
 from apricotlift.core.hashing import digest
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.callheaders import strip_answer, strip_request
+from apricotlift.node.snapshot import Snapshot
 from apricotlift.state.claimrows import UNCLEAR_RESULT, CallResult
 from apricotlift.state.claims import Claim, Claims, ClaimState, Recorded
 from apricotlift.state.declarations import Declarations, Upstream
 from apricotlift.upstreams.pool import Pool, Response, Timeouts
+from apricotlift.upstreams.service import ServiceCall as UpstreamCall
+from apricotlift.upstreams.service import ServiceClient
 
 MAX_KEY_CHARACTERS = 255
 _RETRIED_STATUSES = (502, 503, 504)
 _METHOD = re.compile(r"[A-Z]{1,16}")
 _KEY = re.compile(r"[\x21-\x7e]+")
-#: The connect timeout ends before the deadline's scope, so that a connection that
-#: never opened is known not to have carried the call.
+#: The connect timeout ends first, so that a connection that never opened is known not
+#: to have carried the call; then the deadline's scope ends, before other timeouts.
 _DEADLINE_SLACK_S = 0.1
+_TIMEOUT_SLACK_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -97,12 +101,12 @@
     is_leaving: Callable[[str], bool]
     settings: CallSettings = field(default_factory=CallSettings)
     clock: Callable[[], float] = clocks.monotonic
-    random: random.Random = field(default_factory=random.Random)
+    random: Random = field(default_factory=Random)
     n_in_flight: dict[str, int] = field(default_factory=dict)
 
 
 async def run_call(
-    call: ServiceCall, snapshot: Declarations, context: CallContext
+    call: ServiceCall, snapshot: Snapshot, context: CallContext
 ) -> ServiceAnswer:
     """Run a call and return its answer.
 
@@ -110,7 +114,7 @@
         call ran at an upstream.
     """
     try:
-        answer = await _run(call, snapshot, context)
+        answer = await _run(call, snapshot.declarations, context)
     except ApricotliftError as error:
         context.metrics.count(
             "service_refusals_total", code=error.code, ran=str(error.ran)
@@ -122,19 +126,19 @@
 
 
 async def _run(
-    call: ServiceCall, snapshot: Declarations, context: CallContext
+    call: ServiceCall, declarations: Declarations, context: CallContext
 ) -> ServiceAnswer:
     _check_call(call)
-    account = snapshot.accounts.get(call.account)
+    account = declarations.accounts.get(call.account)
     if account is None or call.service not in account.services:
         # Services of other accounts aren't revealed.
         message = f"no service named {call.service!r} for this account"
         raise ApricotliftError(Code.UNKNOWN_SERVICE, message)
     if call.deadline_at is None:
-        limit_ms = snapshot.get_setting(call.account, "default_deadline_ms")
+        limit_ms = declarations.get_setting(call.account, "default_deadline_ms")
         call = replace(call, deadline_at=context.clock() + limit_ms / 1000)
-    if find_repeat(call, snapshot) == "safe":
-        return await _run_safe(call, snapshot, context)
+    if find_repeat(call, declarations) == "safe":
+        return await _run_safe(call, declarations, context)
     _check_key(call.idempotency_key)
     claim = await context.claims.claim(
         call.account, call.idempotency_key, _digest_call(call)
@@ -149,45 +153,49 @@
             key_expires_at_ms=claim.expires_at_ms,
         )
     try:
-        return await _run_claimed(call, claim, snapshot, context)
+        return await _run_claimed(call, claim, declarations, context)
     finally:
         if claim.state is ClaimState.CONFIRMED:
             with anyio.CancelScope(shield=True):
                 await context.claims.release(claim)
 
 
-def find_repeat(call: ServiceCall, snapshot: Declarations) -> str:
+def find_repeat(call: ServiceCall, declarations: Declarations) -> str:
     """Return ``safe`` or ``never`` for a call.
 
     A service may decode the path before it looks at it, so the call is safe only
     if the path is safe in both forms.
     """
     paths = {call.path, unquote(call.path)}
-    found = {snapshot.find_rule(call.service, call.method, path) for path in paths}
+    found = {declarations.find_rule(call.service, call.method, path) for path in paths}
     return "safe" if found == {"safe"} else "never"
 
 
 async def _run_safe(
-    call: ServiceCall, snapshot: Declarations, context: CallContext
+    call: ServiceCall, declarations: Declarations, context: CallContext
 ) -> ServiceAnswer:
     tried: list[str] = []
     ran = Ran.NO
     while True:
-        upstream = _choose_upstream(call, snapshot, context, tried)
+        upstream = _choose_upstream(call, declarations, context, tried)
         tried.append(upstream.name)
         is_last = len(tried) >= context.settings.max_attempts
         try:
-            response = await _send(call, upstream, context, fresh=False)
+            response = await _send(call, upstream, context, repeatable=True)
         except ApricotliftError as error:
             ran = Ran.NO if ran is error.ran is Ran.NO else Ran.MAYBE
             is_final = error.code in (Code.BAD_REQUEST, Code.DEADLINE_EXCEEDED)
-            if is_final or is_last or not _has_other(call, snapshot, context, tried):
+            if (
+                is_final
+                or is_last
+                or not _has_other(call, declarations, context, tried)
+            ):
                 raise replace(error, ran=ran) from error
             if not _take_retry(call, context, error.code):
                 raise _refuse_budget(call, error, ran) from error
             continue
         can_retry = response.status in _RETRIED_STATUSES and not is_last
-        if can_retry and _has_other(call, snapshot, context, tried):
+        if can_retry and _has_other(call, declarations, context, tried):
             ran = Ran.MAYBE
             if _take_retry(call, context, f"status_{response.status}"):
                 continue
@@ -195,18 +203,18 @@
 
 
 async def _run_claimed(
-    call: ServiceCall, claim: Claim, snapshot: Declarations, context: CallContext
+    call: ServiceCall, claim: Claim, declarations: Declarations, context: CallContext
 ) -> ServiceAnswer:
     tried: list[str] = []
     while True:
-        upstream = _choose_upstream(call, snapshot, context, tried)
+        upstream = _choose_upstream(call, declarations, context, tried)
         tried.append(upstream.name)
         _get_left_s(call, context)
         context.claims.begin_dispatch(claim)
         # A caller that goes away must not leave a sent call without its record.
         with anyio.CancelScope(shield=True):
             try:
-                response = await _send(call, upstream, context, fresh=True)
+                response = await _send(call, upstream, context, repeatable=False)
             except ApricotliftError as error:
                 if error.ran is not Ran.NO:
                     await context.claims.record(claim, UNCLEAR_RESULT)
@@ -223,36 +231,31 @@
                 return replace(answer, key_expires_at_ms=claim.row.expires_at_ms)
         is_final = failure.code is Code.BAD_REQUEST
         is_last = len(tried) >= context.settings.max_attempts
-        if is_final or is_last or not _has_other(call, snapshot, context, tried):
+        if is_final or is_last or not _has_other(call, declarations, context, tried):
             raise failure
         if not _take_retry(call, context, failure.code):
             raise _refuse_budget(call, failure, Ran.NO) from failure
 
 
 async def _send(
-    call: ServiceCall, upstream: Upstream, context: CallContext, fresh: bool
+    call: ServiceCall, upstream: Upstream, context: CallContext, repeatable: bool
 ) -> Response:
     left_s = _get_left_s(call, context)
-    scheme = "https" if upstream.tls else "http"
-    query = f"?{call.query}" if call.query else ""
-    url = f"{scheme}://{upstream.address}{call.path}{query}"
     headers = strip_request(call.headers)
     headers["x-deadline-ms"] = str(max(1, int(left_s * 1000)))
     if call.idempotency_key:
         headers["idempotency-key"] = call.idempotency_key
+    target = f"{call.path}?{call.query}" if call.query else call.path
+    sent = UpstreamCall(call.method, target, headers, call.body, repeatable)
+    client = ServiceClient(
+        upstream.name, upstream.address, context.pool, context.metrics, upstream.tls
+    )
+    later_s = left_s + _TIMEOUT_SLACK_S
     connect_s = min(context.settings.connect_timeout_s, left_s)
-    timeouts = Timeouts(connect_s, left_s, left_s)
+    timeouts = Timeouts(connect_s, later_s, later_s)
     with _count_in_flight(upstream.name, context):
         with anyio.move_on_after(left_s + _DEADLINE_SLACK_S):
-            return await context.pool.request(
-                call.method,
-                url,
-                headers,
-                call.body,
-                timeouts,
-                context.settings.max_answer_bytes,
-                fresh,
-            )
+            return await client.call(sent, timeouts, context.settings.max_answer_bytes)
         message = f"no answer of {upstream.name} within the deadline"
         raise ApricotliftError(Code.DEADLINE_EXCEEDED, message, Ran.MAYBE)
 
@@ -267,10 +270,13 @@
 
 
 def _choose_upstream(
-    call: ServiceCall, snapshot: Declarations, context: CallContext, tried: list[str]
+    call: ServiceCall,
+    declarations: Declarations,
+    context: CallContext,
+    tried: list[str],
 ) -> Upstream:
     """Return the upstream with the fewest calls of this node in flight."""
-    candidates = _list_candidates(call, snapshot, context, tried)
+    candidates = _list_candidates(call, declarations, context, tried)
     if not candidates:
         message = f"no upstream of service {call.service!r} takes new calls"
         raise ApricotliftError(
@@ -297,11 +303,14 @@
 
 
 def _list_candidates(
-    call: ServiceCall, snapshot: Declarations, context: CallContext, tried: list[str]
+    call: ServiceCall,
+    declarations: Declarations,
+    context: CallContext,
+    tried: list[str],
 ) -> list[Upstream]:
     return [
         upstream
-        for upstream in snapshot.upstreams.values()
+        for upstream in declarations.upstreams.values()
         if upstream.kind == "service"
         and upstream.service == call.service
         and upstream.name not in tried
@@ -311,11 +320,14 @@
 
 
 def _has_other(
-    call: ServiceCall, snapshot: Declarations, context: CallContext, tried: list[str]
+    call: ServiceCall,
+    declarations: Declarations,
+    context: CallContext,
+    tried: list[str],
 ) -> bool:
     return any(
         context.n_in_flight.get(upstream.name, 0) < upstream.max_in_flight
-        for upstream in _list_candidates(call, snapshot, context, tried)
+        for upstream in _list_candidates(call, declarations, context, tried)
     )
 
 
