Send the node's replies without Nagle's delay

Cause: the node's listener didn't name IPPROTO_TCP, so asyncio left TCP_NODELAY off, and the body of a reply waited for the caller's delayed acknowledgement. Change: bind in node/server.py names the protocol.

--- a/packages/apricotlift-node/src/apricotlift/node/server.py
+++ b/packages/apricotlift-node/src/apricotlift/node/server.py
@@ -35,7 +35,9 @@
     """Return a listening socket; port 0 lets the system choose."""
     host, _, port = address.rpartition(":")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.socket(family)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol. Without it, a
+    # reply of two pieces waits 40 ms for the caller's delayed acknowledgement.
+    listener = socket.socket(family, proto=socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host.strip("[]"), int(port)))
     listener.listen(_BACKLOG)
