--- /dev/null
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/order_steps.py
@@ -0,0 +1,312 @@
+"""Steps about the order owner, on a table and engines in memory."""
+
+import json
+import random
+
+import anyio
+from apricotlift.core.metrics import Metrics
+from apricotlift.state.declarations import parse_declarations
+from apricotlift.state.leases import LeaseSettings
+from apricotlift.state.orderowner import OrderOwner, OrderSettings, OrderView
+from apricotlift.state.tests.order_fakes import Crash, FakeTable, Points, World
+from apricotlift.upstreams.engine import EngineClient
+from apricotlift.upstreams.pool import Pool
+from behave import given, then, when
+
+from standins.processes import Processes
+
+BOUND_S = 60.0
+MAX_POINTS = 400
+
+
+def write_versions(addresses: list[str], fencing: str) -> list[str]:
+    """Return three versions; the last two no longer name wax@v0."""
+    texts = []
+    for version, previous in (("v0", ""), ("v1", ""), ("v2", "v1")):
+        text = f"[model wax]\nweight_version = {version}\n"
+        text += f"previous_version = {previous}\n" if previous else ""
+        for number, address in enumerate(addresses):
+            text += (
+                f"[upstream e{number}]\nkind = engine\naddress = {address}\n"
+                f"failure_domain = z1\nmodels = wax\nfencing = {fencing}\n"
+                f"role = {'prefill' if version == 'v2' else 'mixed'}\n"
+            )
+        texts.append(text)
+    return texts
+
+
+def build_world(n_engines: int, fencing: str) -> World:
+    addresses = [f"127.0.0.1:{number + 1}" for number in range(n_engines)]
+    world = World(write_versions(addresses, fencing))
+    for number in range(n_engines):
+        world.add_engine(f"e{number}", fencing, "wax@v0 wax@v1")
+    return world
+
+
+def get_node(context, name):
+    if name not in context.world.nodes:
+        context.world.add_node(name)
+    return context.world.nodes[name]
+
+
+def list_orders(world: World) -> list[dict]:
+    return [order for engine in world.engines.values() for order in engine.orders]
+
+
+@given("the order owner's world of {n:d} engine that has fencing {fencing}")
+@given("the order owner's world of {n:d} engines that have fencing {fencing}")
+def step_world(context, n, fencing):
+    context.world = build_world(n, fencing)
+
+
+@given("a run uses {slot} in the order owner's world")
+def step_run(context, slot):
+    context.world.running[slot] = 1
+
+
+@when("the run in the order owner's world ends")
+def step_end_run(context):
+    context.world.running.clear()
+
+
+@given("the order owner's world has only its newest declarations")
+def step_newest(context):
+    context.world.versions = context.world.versions[-1:]
+
+
+@given("the next {n:d} answers of the order owner's table are lost")
+def step_lose(context, n):
+    context.world.table.lost_answers = n
+
+
+@when("the order owner {name} runs until the engines are settled")
+def step_settle(context, name):
+    world = context.world
+    anyio.run(world.run_until, get_node(context, name), world.is_settled)
+
+
+@when("the order owner {name} runs for {n:d} rounds")
+def step_rounds(context, name, n):
+    node = get_node(context, name)
+
+    async def run():
+        for _ in range(n):
+            await context.world.run_round(node)
+            await context.world.advance(1)
+
+    anyio.run(run)
+
+
+@when(
+    "the order owner {name} at version {version:d} runs in turn with A for {n:d} rounds"
+)
+def step_in_turn(context, name, version, n):
+    node = get_node(context, name)
+    node.version = version
+    context.n_orders = len(list_orders(context.world))
+    for _ in range(n):
+        step_rounds(context, name, 1)
+        step_rounds(context, "A", 1)
+
+
+async def run_stopped(fencing: str, n_engines: int, points: Points) -> World | None:
+    """Stop owner A at a point, let B finish, wake A; ``None`` past the last point."""
+    world = build_world(n_engines, fencing)
+    first = world.add_node("A", points)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_until_stopped, world, first)
+        await points.stopped.wait()
+        if points.n_passed < points.stop_at:
+            return None
+        second = world.add_node("B")
+        await world.run_until(second, world.is_settled)
+        points.resumed.set()
+        await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+    # What a late order of A has changed is put right.
+    await world.run_until(second, world.is_settled)
+    return world
+
+
+async def run_until_stopped(world: World, node) -> None:
+    """Run rounds until the owner crashes or has settled everything."""
+    try:
+        await world.run_until(node, world.is_settled)
+    except* Crash:
+        pass
+    node.points.stopped.set()
+
+
+def stop_everywhere(context, fencing: str, n_engines: int, freezes: bool) -> None:
+    context.worlds = []
+    for stop_at in range(1, MAX_POINTS):
+        points = Points(stop_at, freezes)
+        world = anyio.run(run_stopped, fencing, n_engines, points)
+        if world is None:
+            break
+        context.worlds.append(world)
+    assert 40 < len(context.worlds) < MAX_POINTS - 1, len(context.worlds)
+
+
+@when("the order owner freezes at every point in turn, with fencing {fencing}")
+def step_freeze(context, fencing):
+    stop_everywhere(context, fencing, 1, True)
+
+
+@when("the order owner crashes at every point in turn, with fencing {fencing}")
+def step_crash(context, fencing):
+    stop_everywhere(context, fencing, 3, False)
+
+
+@when("two order owners run at once with seeds {a:d} to {b:d}, with fencing {fencing}")
+def step_two(context, a, b, fencing):
+    async def run(seed: int) -> World:
+        world = build_world(3, fencing)
+        for name in ("A", "B"):
+            world.add_node(name, Points(source=random.Random(f"{seed}.{name}")))
+        for _ in range(100):
+            async with anyio.create_task_group() as tasks:
+                for node in world.nodes.values():
+                    tasks.start_soon(world.run_round, node)
+            await world.advance(1)
+        assert world.is_settled(), (seed, world.engines)
+        return world
+
+    context.worlds = [anyio.run(run, seed) for seed in range(a, b + 1)]
+
+
+@then("the order owner's worlds all settled without violation")
+def step_check_worlds(context):
+    for number, world in enumerate(context.worlds):
+        assert world.is_settled(), (number, world.engines)
+        assert not world.violations, (number, world.violations)
+
+
+@then("the stale orders of the order owner that engines obeyed were {kind}")
+def step_check_stale(context, kind):
+    n_stale = 0
+    for world in context.worlds:
+        for engine in world.engines.values():
+            fences = [order["fence"] for order in engine.orders]
+            stale = [
+                order
+                for number, order in enumerate(engine.orders)
+                if order["fence"] < max(fences[: number + 1])
+            ]
+            n_stale += len(stale)
+            assert kind == "harmless" or not stale, stale
+    # Without a stale order the scenario would show nothing about engines that
+    # ignore fencing.
+    assert (n_stale > 0) == (kind == "harmless"), n_stale
+
+
+@then("no engine received an order of the order owner twice")
+def step_check_twice(context):
+    for world in context.worlds:
+        for engine in world.engines.values():
+            sent = [(order["action"], order["slot"]) for order in engine.orders]
+            assert len(sent) == len(set(sent)), engine.orders
+
+
+@then("the order owner's engines received {actions} orders")
+def step_check_actions(context, actions):
+    found = sorted(order["action"] for order in list_orders(context.world))
+    assert found == actions.split(), found
+
+
+@then("{n:d} further rounds of the order owner {name} send and write nothing")
+def step_check_rest(context, n, name):
+    step_rounds(context, name, 1)
+    before = (len(list_orders(context.world)), context.world.table.n_writes)
+    step_rounds(context, name, n)
+    after = (len(list_orders(context.world)), context.world.table.n_writes)
+    assert after == before, (before, after)
+
+
+@then("nothing more was sent by the order owner")
+def step_check_none(context):
+    assert len(list_orders(context.world)) == context.n_orders
+
+
+@then("the order owner's world has no violation")
+def step_check_world(context):
+    assert context.world.is_settled()
+    assert not context.world.violations, context.world.violations
+
+
+@then("the order owner's engine {name} holds {slots}")
+def step_check_slots(context, name, slots):
+    assert sorted(context.world.engines[name].slots) == slots.split()
+
+
+@given("{n:d} engine processes for the order owner that share a weight store")
+def step_processes(context, n):
+    processes = Processes()
+    context.add_cleanup(processes.stop_all)
+    folder = processes.directory / "weights"
+    options = ("--slots", "wax@v0,wax@v1", "--load-s", "0.3")
+    started = [
+        processes.start_module(
+            f"e{number}",
+            "standins.engine",
+            "--name",
+            f"e{number}",
+            "--weight-store",
+            str(folder),
+            *options,
+        )
+        for number in range(n)
+    ]
+    context.engine_addresses = [process.get_address() for process in started]
+
+
+@when("the order owner runs against the engine processes until they are settled")
+def step_run_processes(context):
+    texts = write_versions(context.engine_addresses, "checked")
+    previous, current = (parse_declarations(text) for text in texts[1:])
+    view = OrderView(current, previous, 3, True, ("A",))
+    settings = OrderSettings(LeaseSettings(2.0, 2.4), step_s=0.05, send_s=0.5)
+
+    async def run():
+        async with Pool() as pool, anyio.create_task_group() as tasks:
+
+            def get_engine(upstream):
+                return EngineClient(upstream.name, upstream.address, pool, Metrics())
+
+            owner = OrderOwner(
+                "A", FakeTable(), Metrics(), lambda: view, get_engine, settings
+            )
+            tasks.start_soon(owner.run)
+            with anyio.fail_after(BOUND_S):
+                for upstream in current.upstreams.values():
+                    engine = get_engine(upstream)
+                    wanted = {"wax@v1", "wax@v2"}
+                    while set((await engine.get_health()).slots) != wanted:
+                        await anyio.sleep(0.05)
+            context.truths = [
+                (await get_engine(item).call("GET", "/truth")).body
+                for item in current.upstreams.values()
+            ]
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("the engine processes of the order owner saw at most {n:d} loads at once")
+def step_check_loads(context, n):
+    loads = [load for truth in read_truths(context) for load in truth["loads"]]
+    assert len(loads) == len(context.truths)
+    assert all(1 <= load["n_at_once"] <= n for load in loads), loads
+
+
+@then("each engine process of the order owner obeyed growing fences")
+def step_check_fences(context):
+    for truth in read_truths(context):
+        fences = [order["fence"] for order in truth["orders"]]
+        assert fences == sorted(fences), fences
+        assert all(order["status"] == 200 for order in truth["orders"]), truth
+
+
+def read_truths(context) -> list[dict]:
+    return [json.loads(body) for body in context.truths]
