--- a/packages/apricotlift-policy/src/apricotlift/policy/accuracy.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/accuracy.py
@@ -81,26 +81,29 @@
         self,
         ticket: Ticket,
         estimated_s: float,
-        actual_s: float | None,
+        actual_s: float,
         now_s: float,
         random: Random,
+        failed: bool = False,
     ) -> None:
         """Record a fetch.
 
         :param ticket: what :meth:`begin` returned.
         :param estimated_s: the plan's ``estimated_fetch_s``.
-        :param actual_s: how long it took, or nothing when it failed.
+        :param actual_s: how long it took, or ran until it failed.
         :param now_s: the present time.
         :param random: source of the jitter.
+        :param failed: whether the fetch failed or timed out. An import times out at
+            twice the estimate, so a larger factor is never seen: a failure counts
+            as wrong.
         """
-        if actual_s is None:
-            self._breaker.finish(ticket, False, now_s, random)
-            return
         settings = self.settings
         factor = settings.good_factor if ticket.is_probe else settings.wrong_factor
         held = actual_s <= max(factor * estimated_s, estimated_s + settings.ignored_s)
-        self._learn(estimated_s, actual_s, now_s)
-        self._breaker.finish(ticket, held, now_s, random)
+        # A fetch that failed early says nothing about the rate.
+        if not failed or actual_s > estimated_s:
+            self._learn(estimated_s, actual_s, now_s)
+        self._breaker.finish(ticket, held and not failed, now_s, random)
 
     def _learn(self, estimated_s: float, actual_s: float, now_s: float) -> None:
         settings = self.settings
