Add retention of cache blocks

Cause: stores hold less than all blocks, and links carry less than all copies. Change: policy.retention. Return probability from learned ages per account (Kaplan-Meier over age classes, so waiting conversations don't count as lost), exports by value with a second copy in another failure domain for the top fifth of the bytes, drops from the account that uses most of a full store. Conclusion: accounts share no statistics, so none influences another's retention beyond its share of the store.

--- /dev/null
+++ b/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/retention_steps.py
@@ -0,0 +1,168 @@
+"""Steps for retention."""
+
+from dataclasses import replace
+
+from apricotlift.policy.retention import (
+    Block,
+    RetentionSettings,
+    ReturnAges,
+    StoreSpace,
+    choose_drops,
+    choose_exports,
+    compute_value,
+)
+from behave import given, then
+from hypothesis import given as any_of
+from hypothesis import settings
+from hypothesis import strategies as st
+
+SETTINGS = RetentionSettings()
+HOUR_S = 3600.0
+SIZE = 131_072_000
+STORES = [StoreSpace("east", "zone-1", 1e12), StoreSpace("west", "zone-2", 1e12)]
+
+
+def make_block(account, position, **changes):
+    name = f"{account}-{position}"
+    block = Block(name, account, position, SIZE, 0.125, (HOUR_S,))
+    return replace(block, **changes)
+
+
+@given('an account "daily" that returns after 20 hours and "once" that never does')
+def make_ages(context):
+    context.returns = ReturnAges(SETTINGS)
+    for _ in range(500):
+        context.returns.add_return("daily", 20 * HOUR_S)
+        context.returns.add_end("once", 1000 * HOUR_S)
+    daily = [make_block("daily", position) for position in range(10)]
+    once = [make_block("once", position) for position in range(10)]
+    context.blocks = [*once, *reversed(daily)]
+
+
+def export(context, stores=STORES, settings=SETTINGS, max_bytes=1e12):
+    return choose_exports(context.blocks, stores, context.returns, settings, max_bytes)
+
+
+@then("the estimates for an age of an hour are above 0.9 and below 0.1")
+def check_learned(context):
+    assert context.returns.estimate("daily", HOUR_S) > 0.9
+    assert context.returns.estimate("once", HOUR_S) < 0.1
+
+
+@then('a conversation of "daily" that is 10 days old is unlikely to return')
+def check_old(context):
+    assert context.returns.estimate("daily", 240 * HOUR_S) < 0.1
+
+
+@then("an account without history has an estimate between those")
+def check_prior(context):
+    assert 0.1 < context.returns.estimate("new", HOUR_S) < 0.9
+
+
+@then("after 30000 returns, 30000 conversations without one bring it below 0.2")
+def check_followed(context):
+    returns = ReturnAges(SETTINGS)
+    for _ in range(30_000):
+        returns.add_return("bee", 20 * HOUR_S)
+    for _ in range(30_000):
+        returns.add_end("bee", 1000 * HOUR_S)
+    assert returns.estimate("bee", HOUR_S) < 0.2
+
+
+@then("this holds for many histories and ages")
+def check_probabilities(context):
+    ages = st.floats(0, 2e6)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @any_of(st.lists(st.tuples(ages, st.booleans()), max_size=60), ages)
+    def check(history, age_s):
+        shorter = ReturnAges(replace(SETTINGS, horizon_s=HOUR_S))
+        longer = ReturnAges(SETTINGS)
+        for returns in (shorter, longer):
+            for past_s, returned in history:
+                add = returns.add_return if returned else returns.add_end
+                add("bee", past_s)
+        low, high = shorter.estimate("bee", age_s), longer.estimate("bee", age_s)
+        assert 0 <= low <= high + 1e-12 <= 1 + 1e-9
+        assert abs(longer.estimate("bee", age_s + 1e-6) - high) < 1e-3
+
+    check()
+
+
+@then('only blocks of "daily" are exported, first positions first')
+def check_exports(context):
+    exports = export(context, settings=replace(SETTINGS, n_copies_max=1))
+    assert [e.block.position for e in exports] == list(range(10))
+    assert {e.block.account for e in exports} == {"daily"}
+
+
+@then("with room for 5 copies they are the first 5 positions, in one store")
+def check_room(context):
+    exports = export(context, max_bytes=5 * SIZE)
+    assert [e.block.position for e in exports] == list(range(5))
+    assert len({e.store for e in exports}) == 1
+
+
+@then("an unusable store gets nothing")
+def check_unusable_store(context):
+    stores = [replace(STORES[0], usable=False), STORES[1]]
+    assert {e.store for e in export(context, stores)} == {"west"}
+
+
+@then("a fifth of the bytes gets a second copy, in another failure domain")
+def check_second_copies(context):
+    first, second = {}, {}
+    for entry in export(context):
+        copies = second if entry.block.block_id in first else first
+        copies[entry.block.block_id] = entry.store
+    assert len(first) == 10
+    assert set(second) == {"daily-0", "daily-1"}
+    assert all(first[name] != store for name, store in second.items())
+
+
+@then("with one failure domain or one copy allowed there is no second copy")
+def check_no_second_copy(context):
+    one_domain = [replace(store, failure_domain="zone-1") for store in STORES]
+    assert len(export(context, one_domain)) == 10
+    assert len(export(context, settings=replace(SETTINGS, n_copies_max=1))) == 10
+
+
+@then("100 new blocks push out blocks of the account with 900, none of that with 50")
+def check_fair_drops(context):
+    blocks = [make_block("large", n, ages_s=(60.0,)) for n in range(900)]
+    blocks += [make_block("small", n, ages_s=(1e6,)) for n in range(50)]
+    drops = choose_drops(blocks, "east", 950 * SIZE, 100 * SIZE, ReturnAges(SETTINGS))
+    assert len(drops) == 100
+    assert {block.account for block in drops} == {"large"}
+
+
+@then("later positions go before earlier ones and spare copies before sole ones")
+def check_drop_order(context):
+    both = frozenset(["east", "west"])
+    blocks = [make_block("bee", n, stores=frozenset(["east"])) for n in range(3)]
+    blocks += [make_block("bee", n, stores=both) for n in range(3, 6)]
+    returns = ReturnAges(SETTINGS)
+    drops = choose_drops(blocks, "east", 6 * SIZE, 5 * SIZE, returns)
+    assert [block.position for block in drops] == [5, 4, 3, 2, 1]
+    assert compute_value(blocks[0], returns) > compute_value(blocks[0], returns, 1)
+
+
+@then("for many contents the drops free the space and one fewer wouldn't")
+def check_enough(context):
+    sizes = st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 99)), max_size=40)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @any_of(sizes, st.integers(0, 1000))
+    def check(contents, needed):
+        blocks = [
+            make_block(account, number, size_bytes=size)
+            for number, (account, size) in enumerate(contents)
+        ]
+        capacity = sum(size for _, size in contents)
+        drops = choose_drops(blocks, "east", capacity, needed, ReturnAges(SETTINGS))
+        freed = sum(block.size_bytes for block in drops)
+        assert freed >= min(needed, capacity)
+        if drops:
+            assert freed - drops[-1].size_bytes < needed
+
+    check()
