Test operators' processes against the platform's stand-in

Cause: races and lost answers were only tested on an in-memory table. Change: a feature in which real processes race for one version, lose the platform's answer before and after the effect, and meet an outage.

--- /dev/null
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/platform.feature
@@ -0,0 +1,29 @@
+Feature: Operators' processes on the platform's stand-in
+
+  Background:
+    Given a platform process and version 1 of the example "atlas-chaine-cooperative"
+
+  # Guards against: two changes of one version, or a loser who isn't told who won.
+  Scenario: One of several operators' processes wins
+    When 4 operators' processes apply different changes to version 1 at once
+    Then one process committed version 2 and 3 name it as the winner
+    And the platform holds 2 versions, the newest with the winner's declarations
+
+  # Guards against: a change that is committed twice, or reported as failed, when
+  # the platform's answer is lost after the effect.
+  Scenario Outline: A lost answer of the platform is resolved
+    When an operator's process applies a change while the platform has "<fault>" 1 time
+    Then that process committed version 2
+    And the platform holds 2 versions, the newest with the winner's declarations
+
+    Examples:
+      | fault          |
+      | n_drop_after   |
+      | n_error_after  |
+      | n_error_before |
+
+  # Guards against: an outage that changes something, or that looks like a conflict.
+  Scenario: An outage of the table leaves the configuration as it is
+    When an operator's process applies a change while the table is down
+    Then that process ends with 6 and says "table_unavailable"
+    And the platform holds 1 versions, the newest with the example's declarations
--- /dev/null
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
@@ -0,0 +1,140 @@
+"""Steps with operators' processes and the platform's stand-in."""
+
+import json
+import shutil
+from pathlib import Path
+
+import anyio
+from apricotlift.control import commands
+from apricotlift.control.exits import Exit
+from apricotlift.control.settings import load_settings
+from apricotlift.state.declarations import load_declarations
+from apricotlift.upstreams.pool import Pool
+from behave import given, then, when
+
+from standins.processes import Processes
+
+ROOT = Path(__file__).resolve().parents[7]
+MODULE = "apricotlift.control.main"
+
+
+def set_faults(context, **faults):
+    async def post():
+        async with Pool() as pool:
+            body = json.dumps(faults).encode()
+            url = f"http://{context.address}/faults"
+            response = await pool.request("POST", url, {}, body)
+            assert response.status == 200, response
+
+    anyio.run(post)
+
+
+def start_apply(context, author, folder, base):
+    arguments = ["apply", "--settings", str(context.settings), "--base", str(base)]
+    arguments += ["--message", f"for {author}", "--author", author, "--wait-s", "0"]
+    return context.processes.start_module(author, MODULE, *arguments, str(folder))
+
+
+def write_changed(context, author, number):
+    folder = context.processes.directory / author
+    shutil.copytree(context.declarations, folder)
+    text = f"[account newcomer]\nmodels = portrait\n[model extra]\nweight_version = v{number}\n"
+    (folder / "extra.ini").write_text(text)
+    context.folders[author] = folder
+    return folder
+
+
+@given('a platform process and version 1 of the example "{name}"')
+def start_platform(context, name):
+    context.processes = Processes()
+    context.add_cleanup(context.processes.stop_all)
+    platform = context.processes.start_module("platform", "standins.platform")
+    context.address = platform.get_address()
+    text = (
+        f"[platform]\ntable_url = http://{context.address}\n"
+        f"objects_url = http://{context.address}/objects/bucket\n"
+    )
+    context.settings = context.processes.write_file("control.ini", text)
+    context.declarations = ROOT / "examples" / name / "declarations"
+    context.folders = {"ana": context.declarations}
+    process = start_apply(context, "ana", context.declarations, 0)
+    # No instance runs, so the version is committed and not accepted.
+    assert process.wait() == Exit.NOT_ACCEPTED, process.log_file.read_text()
+
+
+@when(
+    "{n_processes:d} operators' processes apply different changes to version 1 at once"
+)
+def race(context, n_processes):
+    # The delay lets every process read the head before the first one writes.
+    set_faults(context, table={"delay_s": 0.5})
+    names = [f"operator-{number}" for number in range(n_processes)]
+    folders = [write_changed(context, name, index) for index, name in enumerate(names)]
+    pairs = zip(names, folders, strict=True)
+    context.started = [start_apply(context, name, folder, 1) for name, folder in pairs]
+    context.exits = [process.wait(120) for process in context.started]
+
+
+@when('an operator\'s process applies a change while the platform has "{fault}" 1 time')
+def apply_with_fault(context, fault):
+    set_faults(context, table={fault: 1})
+    folder = write_changed(context, "bo", 1)
+    context.started = [start_apply(context, "bo", folder, 1)]
+    context.exits = [context.started[0].wait(120)]
+
+
+@when("an operator's process applies a change while the table is down")
+def apply_without_table(context):
+    set_faults(context, table={"down": True})
+    folder = write_changed(context, "bo", 1)
+    context.started = [start_apply(context, "bo", folder, 1)]
+    context.exits = [context.started[0].wait(120)]
+    set_faults(context, table={})
+
+
+@then("one process committed version 2 and {n_losers:d} name it as the winner")
+def check_race(context, n_losers):
+    winners = []
+    for process, code in zip(context.started, context.exits, strict=True):
+        if code == Exit.NOT_ACCEPTED:
+            winners.append(process.name)
+    assert len(winners) == 1, context.exits
+    context.winner = winners[0]
+    assert sorted(context.exits) == [Exit.CONFLICT] * n_losers + [Exit.NOT_ACCEPTED]
+    for process in context.started:
+        text = process.log_file.read_text()
+        if process.name != context.winner:
+            expected = f"version 2 was taken by a change of {context.winner}"
+            assert expected in text, text
+
+
+@then("that process committed version 2")
+def check_committed(context):
+    text = context.started[0].log_file.read_text()
+    assert context.exits == [Exit.NOT_ACCEPTED], text
+    assert "version 2: committed" in text, text
+    context.winner = "bo"
+
+
+@then('that process ends with {code:d} and says "{text}"')
+def check_ended(context, code, text):
+    log = context.started[0].log_file.read_text()
+    assert context.exits == [code] and text in log, log
+    assert "Traceback" not in log, log
+    context.winner = "ana"
+
+
+@then(
+    "the platform holds {n_versions:d} versions, the newest with the {whose} declarations"
+)
+def check_versions(context, n_versions, whose):
+    async def check():
+        settings = load_settings(context.settings)
+        entries = await commands.list_history(settings, 100)
+        assert [entry.version for entry in entries] == list(range(n_versions, 0, -1))
+        assert entries[0].author == context.winner, entries[0]
+        head, declarations = await commands.read_version(settings, 0)
+        assert head.version == n_versions, head
+        assert declarations == load_declarations([context.folders[context.winner]])
+
+    anyio.run(check)
