--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/engine.feature
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/engine.feature
@@ -72,6 +72,8 @@
     When the prompt "north" is started and cancelled
     Then it fails with stream_broken, ran maybe
     And the engine's load shows no work
+    When the rest of the stream is read
+    Then it fails with cancelled, ran yes
 
   Scenario: A marked prompt ends the process
     # Guards against a fault switch that leaves the crash of section 12 untested.
