Export blocks, schedule store links and run orders in the node

Cause: fetched blocks had to come from somewhere, links had no order, and the declared slots were loaded by nobody. Change: a background exporter by policy.retention, a link scheduler by policy.transfers, the order owner with the node's view.

--- a/packages/apricotlift-node/src/apricotlift/node/attempts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/attempts.py
@@ -269,7 +269,12 @@
         if plan.n_fetched_blocks:
             declarations = node.get_snapshot().declarations
             await node.placer.fetch(
-                plan, call.prefix, engine, declarations, call.cache_salt
+                plan,
+                call.prefix,
+                engine,
+                declarations,
+                call.identity.account,
+                call.cache_salt,
             )
         await _record_attempt(node, call, attempt_id, upstream)
         await _generate(node, run, upstream, attempt_id)
@@ -285,6 +290,9 @@
         state.breaker.finish(ticket, succeeded, clocks.monotonic(), _RANDOM)
     node.placer.learn(plan, stream.usage, call.prefix.n_prompt_tokens)
     await _record_runs(node, call, upstream)
+    node.exporter.submit(
+        call.identity.account, call.cache_salt, upstream, call.prefix, run.located
+    )
 
 
 async def _generate(node: Node, run: _Run, upstream: Upstream, attempt_id: str) -> None:
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/exports.py
@@ -0,0 +1,274 @@
+"""Copies of cache blocks to stores, in the background, and their removal when full.
+
+A node exports what it has served itself: it knows the conversation, its account and
+its engine. A store that is full makes the node drop blocks that it exported before,
+fairly between accounts.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+
+import anyio
+from apricotlift.core import clocks, logs
+from apricotlift.core.errors import ApricotliftError
+from apricotlift.core.metrics import Metrics
+from apricotlift.node.cluster import Cluster
+from apricotlift.node.links import Links
+from apricotlift.node.placement import Located, Prefix, build_routing_settings
+from apricotlift.node.probes import Probes
+from apricotlift.policy.retention import (
+    Block,
+    Export,
+    RetentionSettings,
+    ReturnAges,
+    StoreSpace,
+    choose_drops,
+    choose_exports,
+)
+from apricotlift.policy.transfers import Priority
+from apricotlift.state.declarations import Declarations, Store, Upstream
+from apricotlift.upstreams.engine import EngineClient
+from apricotlift.upstreams.kvstore import StoreClient
+from apricotlift.upstreams.kvtransfer import export_blocks
+from apricotlift.upstreams.pool import Pool
+from apricotlift.wire.messages import PrefixRun, RecordRuns
+
+MAX_QUEUED = 1_000
+MAX_REMEMBERED = 20_000
+MAX_HELD_BLOCKS = 50_000
+EXPORT_TIMEOUT_S = 30.0
+#: Blocks that leave in one order; a long one would hold the link against callers.
+MAX_BLOCKS_PER_EXPORT = 8
+#: Engines with longer queues need their time for prompts.
+BUSY_QUEUE_S = 0.5
+_BUSY_PAUSE_S = 0.2
+
+
+@dataclass(frozen=True)
+class ExportJob:
+    """A conversation whose blocks may be worth a copy."""
+
+    account: str
+    salt: str
+    upstream: Upstream
+    prefix: Prefix
+    stores: dict[str, int]
+
+
+@dataclass
+class Exporter:
+    """The exports of one node."""
+
+    cluster: Cluster
+    probes: Probes
+    links: Links
+    pool: Pool
+    metrics: Metrics
+    settings: RetentionSettings = field(default_factory=RetentionSettings)
+    _queue: OrderedDict[bytes, ExportJob] = field(default_factory=OrderedDict)
+    _changed: anyio.Event = field(default_factory=anyio.Event)
+    _last_used: OrderedDict[bytes, tuple[str, float]] = field(
+        default_factory=OrderedDict
+    )
+    _held: dict[str, OrderedDict[str, tuple[Block, float]]] = field(
+        default_factory=dict
+    )
+
+    def __post_init__(self):
+        self.returns = ReturnAges(self.settings)
+
+    def submit(
+        self,
+        account: str,
+        salt: str,
+        upstream: Upstream,
+        prefix: Prefix,
+        located: Located,
+    ) -> None:
+        """Queue a conversation after one of its requests has ended.
+
+        A later request of the same conversation replaces the queued one.
+        """
+        if not prefix.chain:
+            return
+        self._learn(account, prefix.shard_key)
+        stores = {name: len(run.blocks) for name, run in located.stores.items()}
+        job = ExportJob(account, salt, upstream, prefix, stores)
+        self._queue.pop(prefix.shard_key, None)
+        self._queue[prefix.shard_key] = job
+        while len(self._queue) > MAX_QUEUED:
+            self._queue.popitem(last=False)
+            self.metrics.count("exports_skipped_total", reason="queue_full")
+        self._changed.set()
+
+    async def run(self, get_declarations, get_engine) -> None:
+        """Export queued conversations for ever, one after the other."""
+        while True:
+            while not self._queue:
+                await self._changed.wait()
+                self._changed = anyio.Event()
+            _, job = self._queue.popitem(last=False)
+            declarations = get_declarations()
+            if declarations is None or not declarations.stores:
+                continue
+            try:
+                await self._export(job, declarations, get_engine(job.upstream))
+            except ApricotliftError as error:
+                self.metrics.count("exports_failed_total", reason=error.code)
+                logs.log(
+                    logs.WARNING,
+                    "export_failed",
+                    upstream=job.upstream.name,
+                    code=error.code,
+                    message=error.message,
+                )
+
+    async def _export(
+        self, job: ExportJob, declarations: Declarations, engine: EngineClient
+    ) -> None:
+        await self._wait_until_idle(job.upstream)
+        exports = choose_exports(
+            self._build_blocks(job, declarations),
+            self._build_spaces(declarations),
+            self.returns,
+            replace(
+                self.settings, n_copies_max=declarations.fleet.max_retained_kv_copies
+            ),
+        )
+        by_store: dict[str, list[Export]] = {}
+        for export in exports:
+            by_store.setdefault(export.store, []).append(export)
+        for name, chosen in by_store.items():
+            store = declarations.stores[name]
+            chosen.sort(key=lambda export: export.block.position)
+            for start in range(0, len(chosen), MAX_BLOCKS_PER_EXPORT):
+                part = chosen[start : start + MAX_BLOCKS_PER_EXPORT]
+                if not await self._send(job, store, engine, part):
+                    break
+
+    async def _send(
+        self,
+        job: ExportJob,
+        store: Store,
+        engine: EngineClient,
+        exports: Sequence[Export],
+    ) -> bool:
+        """Export a part; return whether to go on with this store."""
+        blocks = [export.block for export in exports]
+        names = [block.block_id for block in blocks]
+        size_bytes = sum(block.size_bytes for block in blocks)
+        client = StoreClient(
+            store.name, store.address, self.pool, self.metrics, store.tls
+        )
+        async with self.links.transfer(
+            store, job.account, Priority.BACKGROUND, size_bytes
+        ):
+            result = await export_blocks(
+                engine, names, client.url, job.salt, EXPORT_TIMEOUT_S
+            )
+        for stored in result.stored.values():
+            self.metrics.count("link_bytes_total", stored.length, kind="export")
+        for reason in result.failed.values():
+            self.metrics.count("export_blocks_failed_total", reason=reason)
+        held = self._held.setdefault(store.name, OrderedDict())
+        now = clocks.monotonic()
+        for block in blocks:
+            if block.block_id in result.stored:
+                held[block.block_id] = (block, now)
+        while len(held) > MAX_HELD_BLOCKS:
+            held.popitem(last=False)
+        await self._record(job, store, names, result.stored)
+        if any("full" in reason for reason in result.failed.values()):
+            await self._make_room(store, client, size_bytes)
+            return False
+        return not result.failed
+
+    async def _record(self, job: ExportJob, store: Store, names, stored) -> None:
+        """Tell the owners how much of the chain the store now holds."""
+        chain = job.prefix.chain
+        position = {block.hex(): number for number, block in enumerate(chain)}
+        n_held = job.stores.get(store.name, 0)
+        for name in names:
+            if name not in stored or position[name] > n_held:
+                break
+            n_held = max(n_held, position[name] + 1)
+        if n_held <= job.stores.get(store.name, 0):
+            return
+        job.stores[store.name] = n_held
+        run = PrefixRun(store.name, True, "", list(chain[:n_held]), 0, 0)
+        message = RecordRuns(job.prefix.shard_key, [run])
+        await self.cluster.tell_owners(job.prefix.shard_key, message)
+
+    async def _make_room(
+        self, store: Store, client: StoreClient, needed_bytes: int
+    ) -> None:
+        """Drop blocks of this node's own exports from a full store."""
+        held = self._held.get(store.name, OrderedDict())
+        now = clocks.monotonic()
+        blocks = [
+            replace(block, ages_s=(now - exported_at,))
+            for block, exported_at in held.values()
+        ]
+        used_bytes = sum(block.size_bytes for block in blocks)
+        drops = choose_drops(blocks, store.name, used_bytes, needed_bytes, self.returns)
+        for block in drops:
+            try:
+                await client.delete(block.block_id)
+            except ApricotliftError as error:
+                self.metrics.count("store_drops_failed_total", reason=error.code)
+                return
+            del held[block.block_id]
+            self.metrics.count("store_drops_total")
+
+    async def _wait_until_idle(self, upstream: Upstream) -> None:
+        while True:
+            load = self.probes.get_state(upstream.name).load
+            queue_s = 0.0
+            if load is not None:
+                queue_s = load.waiting_prompt_tokens / upstream.prefill_tokens_per_s
+            if queue_s <= BUSY_QUEUE_S:
+                return
+            self.metrics.count("exports_delayed_total", reason="engine_busy")
+            await anyio.sleep(_BUSY_PAUSE_S)
+
+    def _build_blocks(self, job: ExportJob, declarations: Declarations) -> list[Block]:
+        settings = build_routing_settings(declarations.fleet)
+        rebuild_s = settings.chunk_tokens / job.upstream.prefill_tokens_per_s
+        return [
+            Block(
+                name,
+                job.account,
+                position,
+                settings.chunk_bytes,
+                rebuild_s,
+                (0.0,),
+                frozenset(
+                    store for store, n_held in job.stores.items() if position < n_held
+                ),
+            )
+            for position, name in enumerate(job.prefix.block_names)
+        ]
+
+    def _build_spaces(self, declarations: Declarations) -> list[StoreSpace]:
+        # The store says itself when it is full, so its space isn't asked for first.
+        now = clocks.monotonic()
+        return [
+            StoreSpace(
+                store.name,
+                store.failure_domain,
+                float("inf"),
+                self.probes.get_accuracy(store.name).is_usable(now),
+            )
+            for store in declarations.stores.values()
+        ]
+
+    def _learn(self, account: str, shard_key: bytes) -> None:
+        now = clocks.monotonic()
+        known = self._last_used.pop(shard_key, None)
+        if known is not None:
+            self.returns.add_return(account, now - known[1])
+        self._last_used[shard_key] = (account, now)
+        while len(self._last_used) > MAX_REMEMBERED:
+            _, (other, used_at) = self._last_used.popitem(last=False)
+            self.returns.add_end(other, now - used_at)
--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -11,6 +11,9 @@
 from apricotlift.node.admin import build_admin_app
 from apricotlift.node.cluster import Cluster
 from apricotlift.node.drain import is_busy, wait_for_stop
+from apricotlift.node.exports import Exporter
+from apricotlift.node.links import Links
+from apricotlift.node.ordering import build_order_owner, run_orders
 from apricotlift.node.placement import Placer
 from apricotlift.node.probes import Probes
 from apricotlift.node.reading import watch_attempts
@@ -95,12 +98,27 @@
         await stack.enter_async_context(cluster)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         probes = Probes(settings.node.name, pool, metrics)
-        placer = Placer(cluster, probes, pool, metrics)
+        links = Links(metrics)
+        placer = Placer(cluster, probes, pool, metrics, links)
+        exporter = Exporter(cluster, probes, links, pool, metrics)
         streams = StreamRegistry(settings.streams.retention_s)
-        node = Node(settings, metrics, pool, tasks, streams, cluster, probes, placer)
+        node = Node(
+            settings,
+            metrics,
+            pool,
+            tasks,
+            streams,
+            cluster,
+            probes,
+            placer,
+            exporter,
+        )
         node.calls = build_call_context(node)
         tasks.start_soon(watch_attempts, node)
         tasks.start_soon(probes.probe_all, node.get_declarations, node.get_engine)
+        tasks.start_soon(exporter.run, node.get_declarations, node.get_engine)
+        orders = build_order_owner(node)
+        tasks.start_soon(run_orders, node, orders)
         servers = [
             _start_server(node, "callers", build_callers_app(node), callers_socket),
             _start_server(
@@ -113,6 +131,7 @@
             server.should_exit = True
             server.force_exit = is_busy(node)
         await anyio.sleep(_STOP_GRACE_S)
+        await orders.release_all()
         await cluster.membership.leave()
         logs.log(logs.INFO, "stopped")
         tasks.cancel_scope.cancel()
--- /dev/null
+++ b/packages/apricotlift-node/src/apricotlift/node/ordering.py
@@ -0,0 +1,76 @@
+"""Runs the order owner of a node with the node's own view."""
+
+import anyio
+from apricotlift.core.errors import ApricotliftError
+from apricotlift.node.runtime import Node
+from apricotlift.state.configuration import Head, read_declarations, read_history_entry
+from apricotlift.state.declarations import Declarations
+from apricotlift.state.orderowner import OrderOwner, OrderView
+
+_RETRY_S = 1.0
+
+
+class _PreviousDeclarations:
+    """The declarations one version before the one in force."""
+
+    def __init__(self):
+        self.version = 0
+        self.declarations: Declarations | None = None
+
+    async def load(self, node: Node, version: int) -> None:
+        """Read the version before ``version`` from the platform."""
+        if version == self.version:
+            return
+        declarations = None
+        if version > 1:
+            entry = await read_history_entry(node.cluster.table, version - 1)
+            if entry is not None:
+                head = Head(entry.version, entry.digest)
+                declarations = await read_declarations(node.cluster.objects, head)
+        self.declarations = declarations
+        self.version = version
+
+
+def build_order_owner(node: Node) -> OrderOwner:
+    """Return the order owner of a node."""
+    previous = _PreviousDeclarations()
+    node.previous_declarations = previous
+    cluster = node.cluster
+
+    def get_view() -> OrderView:
+        snapshot = cluster.follower.get_snapshot()
+        # An unload needs to know what the version before named, so nothing is
+        # ordered until that has been read.
+        is_current = (
+            cluster.membership.freshness.is_current()
+            and previous.version == snapshot.version
+            and not node.is_draining
+        )
+        members = tuple(cluster.membership.view.get_eligible())
+        return OrderView(
+            snapshot.declarations,
+            previous.declarations,
+            snapshot.version,
+            is_current,
+            members,
+        )
+
+    return OrderOwner(
+        cluster.node_id, cluster.table, node.metrics, get_view, node.get_engine
+    )
+
+
+async def run_orders(node: Node, owner: OrderOwner) -> None:
+    """Run the order owner once there is a configuration."""
+    await node.cluster.follower.wait_for_version(1)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(owner.run)
+        while True:
+            version = node.cluster.follower.version
+            try:
+                await node.previous_declarations.load(node, version)
+            except ApricotliftError as error:
+                node.metrics.count("order_steps_failed_total", reason=error.code)
+                await anyio.sleep(_RETRY_S)
+                continue
+            await node.cluster.follower.wait_for_version(version + 1)
--- a/packages/apricotlift-node/src/apricotlift/node/placement.py
+++ b/packages/apricotlift-node/src/apricotlift/node/placement.py
@@ -12,6 +12,7 @@
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.cluster import Cluster
+from apricotlift.node.links import Links
 from apricotlift.node.probes import Probes
 from apricotlift.policy.estimates import (
     Candidate,
@@ -20,6 +21,7 @@
     Store,
 )
 from apricotlift.policy.routing import Plan, choose_upstream
+from apricotlift.policy.transfers import Priority
 from apricotlift.state.declarations import Declarations, Fleet, Upstream
 from apricotlift.state.declarations import Store as DeclaredStore
 from apricotlift.upstreams.engine import EngineClient, Usage
@@ -74,9 +76,9 @@
     probes: Probes
     pool: Pool
     metrics: Metrics
+    links: Links
     policy: object = choose_upstream
     random: Random = field(default_factory=Random)
-    queued_bytes: dict[str, float] = field(default_factory=dict)
 
     async def locate(self, prefix: Prefix) -> Located:
         """Ask the owners of a prompt's shard where it is cached."""
@@ -148,6 +150,7 @@
         prefix: Prefix,
         engine: EngineClient,
         declarations: Declarations,
+        account: str,
         salt: str,
     ) -> int:
         """Import the blocks that the plan wants; return how many are there.
@@ -165,13 +168,17 @@
         first = plan.n_reused_blocks
         names = prefix.block_names[first : first + plan.n_fetched_blocks]
         n_bytes = len(names) * build_routing_settings(declarations.fleet).chunk_bytes
-        self.queued_bytes[store.name] = self.queued_bytes.get(store.name, 0) + n_bytes
         timeout_s = max(_MIN_IMPORT_TIMEOUT_S, 2 * plan.estimated_fetch_s)
         started = clocks.monotonic()
         n_imported = 0
         try:
             with anyio.fail_after(timeout_s):
-                n_imported = await self._import(engine, store, names, salt, timeout_s)
+                async with self.links.transfer(
+                    store, account, Priority.WAITING, n_bytes
+                ):
+                    n_imported = await self._import(
+                        engine, store, names, salt, timeout_s
+                    )
         except anyio.get_cancelled_exc_class():
             accuracy.abandon(ticket)
             raise
@@ -179,8 +186,6 @@
             code = getattr(error, "code", Code.UPSTREAM_TIMEOUT)
             self.metrics.count("fetches_failed_total", reason=code)
             logs.log(logs.WARNING, "fetch_failed", store=store.name, code=code)
-        finally:
-            self.queued_bytes[store.name] -= n_bytes
         now = clocks.monotonic()
         actual_s = now - started if n_imported == len(names) else None
         accuracy.finish(ticket, plan.estimated_fetch_s, actual_s, now, self.random)
@@ -290,7 +295,7 @@
             n_blocks,
             store.link_bytes_per_s,
             store.link_latency_s,
-            self.queued_bytes.get(store.name, 0.0),
+            self.links.count_bytes_ahead(store, Priority.WAITING),
             accuracy.get_time_factor(now),
             usable=accuracy.is_usable(now),
         )
--- a/packages/apricotlift-node/src/apricotlift/node/runtime.py
+++ b/packages/apricotlift-node/src/apricotlift/node/runtime.py
@@ -11,6 +11,7 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.calls import CallContext
 from apricotlift.node.cluster import Cluster
+from apricotlift.node.exports import Exporter
 from apricotlift.node.identity import Identity
 from apricotlift.node.placement import Placer
 from apricotlift.node.probes import Probes
@@ -66,7 +67,9 @@
     cluster: Cluster
     probes: Probes
     placer: Placer
+    exporter: Exporter
     calls: CallContext | None = None
+    previous_declarations: object = None
     limits: Limits = field(default_factory=Limits)
     is_draining: bool = False
     drain_changed: anyio.Event = field(default_factory=anyio.Event)
