--- a/packages/apricotlift-state/src/apricotlift/state/view.py
+++ b/packages/apricotlift-state/src/apricotlift/state/view.py
@@ -217,7 +217,8 @@
 
     def prove(self, member: Member, at: float, version: int) -> None:
         """Note a proof that a member lived, with its version, at a time or later."""
-        self.hear(member, at)
+        if at > member.heard_at:
+            member.heard_at = at
         if at > member.proven_at:
             member.proven_at = at
             member.version = version
