--- /dev/null
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
@@ -0,0 +1,252 @@
+import socket
+from contextlib import AsyncExitStack
+from random import Random
+
+import anyio
+from apricotlift.core.errors import ApricotliftError
+from apricotlift.core.metrics import Metrics
+from apricotlift.platform.table import Row
+from apricotlift.state.lease import MEMBER_PK
+from apricotlift.state.membership import QUERY_S, Membership
+from apricotlift.state.tests.membership_fakes import (
+    FakeClock,
+    FakeTable,
+    build_summary,
+)
+from apricotlift.wire.connections import PeerPool, PeerServer
+from apricotlift.wire.messages import MemberSummary
+from behave import given, then, when
+
+SECRET = b"cluster secret of the tests"
+LIMIT_S = 30
+
+
+class Node:
+    """A member with a real listener and pool on loopback."""
+
+    def __init__(self, name, rows, seed):
+        self.table = FakeTable()
+        self.table.rows = rows
+        listening = socket.socket()
+        listening.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        own = MemberSummary(name, "", address, address, f"domain-{name}", "serving")
+        self.metrics = Metrics()
+        self.pool = PeerPool(self.get_identity, SECRET, self.metrics)
+        self.server = PeerServer(listening, self.get_identity, SECRET, self.metrics)
+        self.membership = Membership(
+            own, self.table, self.pool, self.metrics, Random(seed)
+        )
+        self.membership.register(self.server)
+
+    def get_identity(self):
+        return self.membership.get_identity()
+
+    async def enter(self, stack):
+        for part in (self.server, self.pool, self.membership):
+            await stack.enter_async_context(part)
+
+
+async def wait_until(holds):
+    for _ in range(LIMIT_S * 100):
+        if holds():
+            return
+        await anyio.sleep(0.01)
+    raise AssertionError("the state wasn't reached")
+
+
+def run_nodes(context, act):
+    """Run the three nodes in one loop until they are proven, then ``act``."""
+
+    async def main():
+        nodes = [Node(name, context.rows, seed) for seed, name in enumerate("abc")]
+        async with AsyncExitStack() as stack:
+            for node in nodes:
+                await node.enter(stack)
+            await wait_until(
+                lambda: all(
+                    node.membership.view.check_majority().n_heard == 3 for node in nodes
+                )
+            )
+            await act(nodes)
+
+    anyio.run(main)
+
+
+def list_serving(node):
+    return sorted(item.node_id for item in node.membership.view.get_serving())
+
+
+@given("membership nodes a, b and c on one table")
+def note_nodes(context):
+    context.rows = {}
+
+
+@when("the membership nodes run until each has proof of the other two")
+def run_three(context):
+    async def act(nodes):
+        context.majorities = [node.membership.view.check_majority() for node in nodes]
+        context.listed = sorted(context.rows)
+        assert await nodes[0].membership.publish_draining()
+        context.state = context.rows["a"].values["state"]
+        await wait_until(
+            lambda: all(list_serving(node) == ["b", "c"] for node in nodes[1:])
+        )
+        context.drained = [list_serving(node) for node in nodes[1:]]
+        assert await nodes[0].membership.leave()
+
+    run_nodes(context, act)
+
+
+@then("each membership node has a lease row and a majority of 3 of 3")
+def check_three(context):
+    assert context.listed == ["a", "b", "c"]
+    for majority in context.majorities:
+        assert (majority.n_heard, majority.n_members) == (3, 3)
+        assert majority.is_majority
+
+
+@then("after node a drains, the membership of b and c names only b and c to callers")
+def check_drained(context):
+    assert context.state == "draining"
+    assert context.drained == [["b", "c"], ["b", "c"]]
+
+
+@then("after node a leaves, its membership row is gone")
+def check_left(context):
+    assert sorted(context.rows) == ["b", "c"]
+
+
+@when("the membership nodes run and node c loses the table")
+def cut_off(context):
+    async def act(nodes):
+        node = nodes[2]
+        context.renewal = context.rows["c"].values["renewal"]
+        node.table.is_down = True
+        context.is_renewed = await node.membership.publish_version(12)
+        context.n_peer = node.metrics.get_count("lease_peer_renewals_total")
+
+    run_nodes(context, act)
+
+
+@then("the membership row of node c is renewed through a peer")
+def check_peer_renewal(context):
+    assert context.is_renewed
+    assert context.n_peer == 1
+    values = context.rows["c"].values
+    assert values["renewal"] > context.renewal
+    assert values["confirmed_version"] == 12
+
+
+@given("a membership node with a fake clock and version {version:d} confirmed")
+def build_node(context, version):
+    context.clock = FakeClock()
+    context.rows_table = FakeTable()
+    context.metrics = Metrics()
+    own = build_summary("node-a")
+    pool = PeerPool(lambda: None, SECRET, Metrics())
+    context.node = Membership(
+        own, context.rows_table, pool, context.metrics, Random(4), context.clock
+    )
+    assert anyio.run(context.node.lease.renew)
+    context.incarnation = context.node.lease.incarnation
+    context.node.notice_pause()
+    context.node.freshness.observe_read(version, context.clock.now)
+    context.node.freshness.put_in_force(version)
+
+
+@when("the membership clock jumps by {seconds:d} s")
+def jump(context, seconds):
+    context.clock.now += seconds
+
+
+@when("the membership node's version {version:d} is confirmed again")
+def confirm(context, version):
+    context.node.freshness.observe_read(version, context.clock.now)
+
+
+@when("the membership node hears of a newer incarnation of itself")
+def hear_of_itself(context):
+    context.node.view.apply_summary(build_summary("node-a", "f" * 20))
+    context.node._check_own_id()
+
+
+@then("membership admission is refused with {code}")
+def check_refused(context, code):
+    try:
+        context.node.check_admission()
+    except ApricotliftError as error:
+        assert error.code == code, error
+    else:
+        raise AssertionError("new work was admitted")
+
+
+@then("membership admission is granted as {standing}")
+def check_granted(context, standing):
+    assert context.node.check_admission() == standing
+
+
+@then("the membership node has a new incarnation in its view")
+def check_incarnation(context):
+    assert context.node.view.own.incarnation > context.incarnation
+
+
+def write_row(context, node_id):
+    values = dict(context.rows_table.rows["node-a"].values)
+    old = context.rows_table.rows.get(node_id)
+    values["renewal"] = 1 if old is None else old.values["renewal"] + 1
+    context.rows_table.rows[node_id] = Row(MEMBER_PK, node_id, values)
+
+
+@given("membership rows of node-x and node-y")
+def write_rows(context):
+    write_row(context, "node-x")
+    write_row(context, "node-y")
+
+
+@given("a membership row of node-z without an incarnation")
+def write_malformed_row(context):
+    context.rows_table.rows["node-z"] = Row(MEMBER_PK, "node-z", {"renewal": 1})
+
+
+@when("the membership node queries for {hours:g} h while node-y renews")
+def query_for(context, hours):
+    async def main():
+        end = context.clock.now + hours * 3600
+        while context.clock.now < end:
+            write_row(context, "node-y")
+            await context.node.query_members()
+            context.clock.now += QUERY_S
+
+    anyio.run(main)
+
+
+@when("the membership node can't query for {hours:g} h")
+def skip_queries(context, hours):
+    async def main():
+        await context.node.query_members()
+        context.clock.now += hours * 3600
+        await context.node.query_members()
+
+    anyio.run(main)
+
+
+@when("the membership node queries once")
+def query_once(context):
+    anyio.run(context.node.query_members)
+
+
+@then("the membership rows are {names}")
+def check_rows(context, names):
+    others = sorted(name for name in context.rows_table.rows if name != "node-a")
+    assert others == names.split(" and "), others
+
+
+@then("the membership node counted {n:d} deleted row")
+def check_count(context, n):
+    assert context.metrics.get_count("member_rows_deleted_total") == n
+
+
+@then("the membership view holds node-x and node-y")
+def check_view(context):
+    assert sorted(context.node.view.members) == ["node-a", "node-x", "node-y"]
