--- a/packages/apricotlift-node/src/apricotlift/node/calls.py
+++ b/packages/apricotlift-node/src/apricotlift/node/calls.py
@@ -18,10 +18,10 @@
 from apricotlift.core.hashing import digest
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.callheaders import strip_answer, strip_request
-from apricotlift.node.snapshot import Snapshot
 from apricotlift.state.claimrows import UNCLEAR_RESULT, CallResult
 from apricotlift.state.claims import Claim, Claims, ClaimState, Recorded
 from apricotlift.state.declarations import Declarations, Upstream
+from apricotlift.state.snapshots import Snapshot
 from apricotlift.upstreams.pool import Pool, Response, Timeouts
 from apricotlift.upstreams.service import ServiceCall as UpstreamCall
 from apricotlift.upstreams.service import ServiceClient
--- a/packages/apricotlift-node/src/apricotlift/node/services.py
+++ b/packages/apricotlift-node/src/apricotlift/node/services.py
@@ -49,7 +49,7 @@
     )
     node.probes.get_budget(service).add_first_attempt()
     with node.hold(identity):
-        answer = await run_call(call, node.get_snapshot().declarations, node.calls)
+        answer = await run_call(call, node.get_snapshot(), node.calls)
     headers = dict(answer.headers)
     headers["content-length"] = str(len(answer.body))
     headers["x-replayed"] = "yes" if answer.is_replay else "no"
--- a/packages/apricotlift-node/src/apricotlift/node/tests/callnode.py
+++ b/packages/apricotlift-node/src/apricotlift/node/tests/callnode.py
@@ -14,11 +14,11 @@
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.calls import CallContext, ServiceCall, run_call
-from apricotlift.node.snapshot import build_snapshot
 from apricotlift.platform import ObjectStore, Table
 from apricotlift.state.claimbatch import Batcher
 from apricotlift.state.claims import Claims
-from apricotlift.state.declarations import load_declarations
+from apricotlift.state.declarations import encode_document, load_declarations
+from apricotlift.state.snapshots import Snapshot
 from apricotlift.upstreams.pool import Pool
 
 from standins.http import Reply, Request, Streaming, bind, build_app, build_json_reply
@@ -85,7 +85,7 @@
 ) -> None:
     """Run the call path behind ``POST /call``."""
     logs.configure(name)
-    snapshot = build_snapshot(1, load_declarations([declarations]))
+    snapshot = Snapshot(1, "", encode_document(load_declarations([declarations])))
     state = {"lost": [], "leaving": [], "n_retries": 10}
 
     def take_retry(service: str) -> bool:
