Add admission with max-min fair shares

Cause: when the fleet is full, a few large accounts must not crowd out small ones. An account's demand is what it has in flight or waiting now.

--- /dev/null
+++ b/packages/apricotlift-policy/src/apricotlift/policy/admission.py
@@ -0,0 +1,287 @@
+"""Admission of requests when the fleet is full, and refusals at once.
+
+Refusals, none of which ran:
+
+============================== ============ ===========================================
+code                           scope        retry_after_s
+============================== ============ ===========================================
+``deadline_unreachable``       ``request``  none: the same deadline fails again
+``concurrency_limited``        ``account``  until one of the account's requests ends
+``overloaded``                 ``account``  until the account is below its fair share
+``overloaded``                 ``fleet``    until the requests that wait are served
+============================== ============ ===========================================
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum, StrEnum
+
+from apricotlift.core.errors import ApricotliftError, Code, Scope
+
+
+class RequestClass(IntEnum):
+    """The caller's ``x-priority``; lower numbers go first."""
+
+    INTERACTIVE = 0
+    BATCH = 1
+
+
+class Verdict(StrEnum):
+    """What happens to a request that isn't refused."""
+
+    ADMIT = "admit"
+    WAIT = "wait"
+
+
+@dataclass(frozen=True)
+class AdmissionSettings:
+    """When the fleet counts as full and what happens then.
+
+    :param enter_share: share of the capacity in flight at which it becomes full.
+    :param leave_share: share below which it no longer is; lower, so that the limits
+        don't come and go with every request.
+    :param overshoot_share: share of the capacity up to which interactive requests of
+        accounts below their fair share are admitted, while those above it shrink.
+    :param n_waiting_max: requests that may wait.
+    :param duration_s: assumed duration of a request until some have ended.
+    """
+
+    enter_share: float = 1.0
+    leave_share: float = 0.85
+    overshoot_share: float = 1.1
+    n_waiting_max: int = 64
+    duration_s: float = 2.0
+
+
+@dataclass(frozen=True)
+class AdmissionRequest:
+    """A request at the door.
+
+    :param time_left_s: time until the caller's deadline.
+    :param estimated_s: estimated time until its response is complete, without a wait
+        at the door.
+    :param account_limit: declared in-flight limit of the account.
+    """
+
+    request_id: str
+    account: str
+    request_class: RequestClass = RequestClass.INTERACTIVE
+    time_left_s: float = math.inf
+    estimated_s: float = 0.0
+    account_limit: int = 1_000_000
+
+
+def compute_fair_share(demands: Iterable[float], capacity: float) -> float:
+    """Return the max-min fair share: the most that any account may use.
+
+    Accounts that want less than the share get what they want, and the others share
+    what is left equally.
+
+    >>> compute_fair_share([10, 20, 90, 200], capacity=100)
+    35.0
+    >>> compute_fair_share([10, 20], capacity=100)
+    90
+    """
+    ordered = sorted(demands)
+    left = capacity
+    for number, demand in enumerate(ordered):
+        share = left / (len(ordered) - number)
+        if demand >= share:
+            return share
+        left -= demand
+    # All demands fit: the largest may grow into what is left.
+    return left + (ordered[-1] if ordered else 0.0)
+
+
+@dataclass
+class _Account:
+    n_in_flight: int = 0
+    n_waiting: int = 0
+
+
+@dataclass(frozen=True)
+class _Waiting:
+    request: AdmissionRequest
+    number: int
+    expires_s: float
+
+
+class Admission:
+    """In-flight requests per account, against a capacity.
+
+    >>> admission = Admission(AdmissionSettings(n_waiting_max=0), capacity=2)
+    >>> for number in range(2):
+    ...     admission.decide(AdmissionRequest(f"r{number}", "bee"), 0.0).value
+    'admit'
+    'admit'
+    >>> try:
+    ...     admission.decide(AdmissionRequest("r3", "bee"), 0.0)
+    ... except ApricotliftError as error:
+    ...     print(error.code, error.scope)
+    overloaded account
+    """
+
+    def __init__(self, settings: AdmissionSettings, capacity: float):
+        self.settings = settings
+        self.capacity = capacity
+        self.is_full = False
+        self.n_in_flight = 0
+        self.duration_s = settings.duration_s
+        self._accounts: dict[str, _Account] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._n_queued = 0
+
+    def decide(self, request: AdmissionRequest, now_s: float) -> Verdict:
+        """Admit a request, let it wait, or refuse it.
+
+        :raises ApricotliftError: for a refusal; the module lists them.
+        """
+        account = self._accounts.get(request.account, _Account())
+        if request.estimated_s > request.time_left_s:
+            raise _refuse_deadline(request, request.estimated_s)
+        if account.n_in_flight >= request.account_limit:
+            raise self._refuse_account(
+                Code.CONCURRENCY_LIMITED, account, request.account_limit
+            )
+        self._update_full()
+        if not self.is_full:
+            self._admit(request.account)
+            return Verdict.ADMIT
+        share = self.compute_share(request.account)
+        if account.n_in_flight + account.n_waiting >= max(1.0, share):
+            raise self._refuse_account(Code.OVERLOADED, account, share)
+        if self._has_room(request.request_class, n_ahead=len(self._waiting)):
+            self._admit(request.account)
+            return Verdict.ADMIT
+        return self._queue(request, now_s)
+
+    def end(self, account: str, duration_s: float) -> None:
+        """Record that an admitted request has ended.
+
+        :param duration_s: how long it was in flight.
+        """
+        self._accounts[account].n_in_flight -= 1
+        self.n_in_flight -= 1
+        self._drop_idle(account)
+        self.duration_s += 0.02 * (duration_s - self.duration_s)
+        self._update_full()
+
+    def admit_waiting(self, now_s: float) -> tuple[list[str], list[str]]:
+        """Admit what there is room for, after a request has ended.
+
+        Interactive requests go before batch, then the account with the fewest
+        requests in flight, then the longest wait.
+
+        :returns: ids of the admitted requests, and of those that can no longer meet
+            their deadline.
+        """
+        expired = [key for key, w in self._waiting.items() if w.expires_s < now_s]
+        for key in expired:
+            self.cancel(key)
+        admitted: list[str] = []
+        while self._waiting:
+            waiting = min(self._waiting.values(), key=self._rank)
+            if not self._has_room(waiting.request.request_class, n_ahead=0):
+                break
+            self.cancel(waiting.request.request_id)
+            self._admit(waiting.request.account)
+            admitted.append(waiting.request.request_id)
+        return admitted, expired
+
+    def cancel(self, request_id: str) -> None:
+        """Remove a request that waits."""
+        waiting = self._waiting.pop(request_id)
+        self._accounts[waiting.request.account].n_waiting -= 1
+        self._drop_idle(waiting.request.account)
+
+    def compute_share(self, account: str) -> float:
+        """Return the present fair share, if an account sends one more request.
+
+        Demand is what is in flight or waits now. An average over seconds would keep
+        capacity for accounts that don't use it at the moment; instead, they may
+        briefly overshoot when they come back.
+        """
+        demands = {
+            name: entry.n_in_flight + entry.n_waiting
+            for name, entry in self._accounts.items()
+        }
+        demands[account] = demands.get(account, 0) + 1
+        return compute_fair_share(demands.values(), self.capacity)
+
+    def _get_account(self, name: str) -> _Account:
+        return self._accounts.setdefault(name, _Account())
+
+    def _drop_idle(self, name: str) -> None:
+        account = self._accounts[name]
+        if not account.n_in_flight and not account.n_waiting:
+            del self._accounts[name]
+
+    def _update_full(self) -> None:
+        settings = self.settings
+        if self.n_in_flight >= settings.enter_share * self.capacity:
+            self.is_full = True
+        elif self.n_in_flight <= settings.leave_share * self.capacity:
+            self.is_full = False
+
+    def _has_room(self, request_class: RequestClass, n_ahead: int) -> bool:
+        if n_ahead:
+            return False
+        share = 1.0
+        if request_class is RequestClass.INTERACTIVE:
+            share = self.settings.overshoot_share
+        return self.n_in_flight < share * self.capacity
+
+    def _admit(self, account: str) -> None:
+        self._get_account(account).n_in_flight += 1
+        self.n_in_flight += 1
+
+    def _queue(self, request: AdmissionRequest, now_s: float) -> Verdict:
+        n_ahead = sum(
+            waiting.request.request_class <= request.request_class
+            for waiting in self._waiting.values()
+        )
+        wait_s = (n_ahead + 1) * self.duration_s / max(1, self.n_in_flight)
+        if wait_s + request.estimated_s > request.time_left_s:
+            raise _refuse_deadline(request, wait_s + request.estimated_s)
+        if len(self._waiting) >= self.settings.n_waiting_max:
+            raise ApricotliftError(
+                Code.OVERLOADED,
+                f"{self.n_in_flight} requests are in flight and {len(self._waiting)} "
+                f"wait for a capacity of {self.capacity:g}",
+                scope=Scope.FLEET,
+                retry_after_s=wait_s,
+            )
+        self._n_queued += 1
+        expires_s = now_s + request.time_left_s - request.estimated_s
+        self._waiting[request.request_id] = _Waiting(request, self._n_queued, expires_s)
+        self._get_account(request.account).n_waiting += 1
+        return Verdict.WAIT
+
+    def _rank(self, waiting: _Waiting):
+        n_in_flight = self._accounts[waiting.request.account].n_in_flight
+        return waiting.request.request_class, n_in_flight, waiting.number
+
+    def _refuse_account(
+        self, code: Code, account: _Account, limit: float
+    ) -> ApricotliftError:
+        # Requests above the limit have to end first; they end at the account's rate.
+        n_above = account.n_in_flight - math.floor(limit) + 1
+        wait_s = max(1, n_above) * self.duration_s / max(1, account.n_in_flight)
+        return ApricotliftError(
+            code,
+            f"{account.n_in_flight} requests of this account are in flight, "
+            f"its limit is {limit:.1f} now",
+            scope=Scope.ACCOUNT,
+            retry_after_s=wait_s,
+            details={"limit": math.floor(limit), "remaining": 0},
+        )
+
+
+def _refuse_deadline(request: AdmissionRequest, estimated_s: float) -> ApricotliftError:
+    return ApricotliftError(
+        Code.DEADLINE_UNREACHABLE,
+        f"the response would take {estimated_s:.1f} s, "
+        f"the deadline is in {request.time_left_s:.1f} s",
+        scope=Scope.REQUEST,
+    )
