Estimate each conversation's return once per choice

Cause: choosing drops weighs every block of a store, and the estimate of a return was made for each block although a conversation's blocks share it. Change: choose_exports and choose_drops keep the estimates by account and ages; the package lists its public names.

--- a/packages/apricotlift-policy/src/apricotlift/policy/__init__.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/__init__.py
@@ -1,3 +1,70 @@
-"""Routing, retention, admission and retry decisions."""
+"""Routing, retention, admission and retry decisions.
 
-__all__: list[str] = []
+Everything here is a pure decision or a small state class: no I/O, and clock values
+and the random source are arguments.
+"""
+
+from apricotlift.policy.accuracy import AccuracySettings, StoreAccuracy
+from apricotlift.policy.admission import (
+    Admission,
+    AdmissionRequest,
+    AdmissionSettings,
+    RequestClass,
+)
+from apricotlift.policy.breaker import Breaker, BreakerSettings
+from apricotlift.policy.estimates import (
+    Candidate,
+    Placement,
+    RoutingRequest,
+    RoutingSettings,
+    Store,
+)
+from apricotlift.policy.limits import Limits, Quota
+from apricotlift.policy.retention import (
+    Block,
+    RetentionSettings,
+    ReturnAges,
+    choose_drops,
+    choose_exports,
+)
+from apricotlift.policy.retries import (
+    FailedAttempt,
+    RetryBudget,
+    RetrySettings,
+    decide_retry,
+)
+from apricotlift.policy.routing import Plan, choose_upstream
+from apricotlift.policy.transfers import Link, Priority, Transfer, TransferSettings
+
+__all__ = [
+    "AccuracySettings",
+    "Admission",
+    "AdmissionRequest",
+    "AdmissionSettings",
+    "Block",
+    "Breaker",
+    "BreakerSettings",
+    "Candidate",
+    "FailedAttempt",
+    "Limits",
+    "Link",
+    "Placement",
+    "Plan",
+    "Priority",
+    "Quota",
+    "RequestClass",
+    "RetentionSettings",
+    "RetryBudget",
+    "RetrySettings",
+    "ReturnAges",
+    "RoutingRequest",
+    "RoutingSettings",
+    "Store",
+    "StoreAccuracy",
+    "Transfer",
+    "TransferSettings",
+    "choose_drops",
+    "choose_exports",
+    "choose_upstream",
+    "decide_retry",
+]
--- a/packages/apricotlift-policy/src/apricotlift/policy/retention.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/retention.py
@@ -8,7 +8,7 @@
 import heapq
 import math
 from bisect import bisect_right
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 _N_PER_DOUBLING = 4
@@ -189,9 +189,34 @@
 
     :param n_other_copies: copies that remain without this one.
     """
-    p_none = math.prod(1 - returns.estimate(block.account, age) for age in block.ages_s)
+    return _weigh(block, _estimate_use(block, returns), n_other_copies, returns)
+
+
+def _estimate_use(block: Block, returns: ReturnAges) -> float:
+    """Return the probability that a conversation that uses the block returns."""
+    estimates = (returns.estimate(block.account, age_s) for age_s in block.ages_s)
+    return 1 - math.prod(1 - estimate for estimate in estimates)
+
+
+def _weigh(block, p_use: float, n_other_copies: int, returns: ReturnAges) -> float:
     factor = returns.settings.second_copy_factor if n_other_copies else 1.0
-    return factor * (1 - p_none) * block.rebuild_s / block.size_bytes
+    return factor * p_use * block.rebuild_s / block.size_bytes
+
+
+def _compute_values(
+    blocks, returns: ReturnAges, store: str | None = None
+) -> list[float]:
+    """Return the value of each block, or of its copy in one store."""
+    # The blocks of a conversation share their ages, and the estimate is what costs.
+    known: dict[tuple, float] = {}
+    values = []
+    for block in blocks:
+        key = (block.account, block.ages_s)
+        if key not in known:
+            known[key] = _estimate_use(block, returns)
+        n_other_copies = len(block.stores - {store}) if store else 0
+        values.append(_weigh(block, known[key], n_other_copies, returns))
+    return values
 
 
 def choose_exports(
@@ -209,7 +234,8 @@
 
     :param max_bytes: what may be sent now.
     """
-    values = {block.block_id: compute_value(block, returns) for block in blocks}
+    numbers = _compute_values(blocks, returns)
+    values = {b.block_id: value for b, value in zip(blocks, numbers, strict=True)}
     worthwhile = [
         block
         for block in blocks
@@ -276,7 +302,7 @@
 
 
 def choose_drops(
-    blocks: Iterable[Block],
+    blocks: Sequence[Block],
     store: str,
     capacity_bytes: float,
     needed_bytes: float,
@@ -294,8 +320,8 @@
     """
     by_account: dict[str, list[tuple[float, int, str, Block]]] = {}
     used: dict[str, float] = {}
-    for block in blocks:
-        value = compute_value(block, returns, len(block.stores - {store}))
+    values = _compute_values(blocks, returns, store)
+    for block, value in zip(blocks, values, strict=True):
         entry = (value, -block.position, block.block_id, block)
         by_account.setdefault(block.account, []).append(entry)
         used[block.account] = used.get(block.account, 0.0) + block.size_bytes
