Bound how much slower than least load a plan may be

Change: ways whose estimated TTFT exceeds that of least load without stores by more than ttft_slack_s (1 s) are not taken; the record calls such candidates too_slow.

--- a/packages/apricotlift-policy/src/apricotlift/policy/estimates.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/estimates.py
@@ -29,6 +29,8 @@
     :param drain_max_s: time after a report for which the engine is credited with
         work. An engine whose report is older may be hung rather than idle.
     :param tolerance_s: candidates within this cost of the best are equally good.
+    :param ttft_slack_s: how much longer the TTFT of a plan may be than that of least
+        load without stores.
     :param n_evaluated: candidates without cached blocks that are estimated in full
         beyond those that the unseen work may fill; the readiest ones are taken.
     """
@@ -43,6 +45,7 @@
     queue_drain_share: float = 0.0
     drain_max_s: float = 3.0
     tolerance_s: float = 0.01
+    ttft_slack_s: float = 1.0
     n_evaluated: int = 4
 
 
--- a/packages/apricotlift-policy/src/apricotlift/policy/routing.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/routing.py
@@ -43,9 +43,9 @@
     """What was known of a candidate and why it was or wasn't chosen.
 
     :param verdict: ``chosen``, ``outdrawn`` (as good, lost the draw), ``costlier``,
-        ``not_evaluated`` (queue too long to be worth an estimate), or the reason of
-        the exclusion: ``tried``, ``draining``, ``breaker_open``, ``full``,
-        ``other_suspect``.
+        ``too_slow`` (beyond the TTFT slack), ``not_evaluated`` (queue too long to be
+        worth an estimate), or the reason of the exclusion: ``tried``, ``draining``,
+        ``breaker_open``, ``full``, ``other_suspect``.
     :param queue_tokens: corrected tokens ahead; nothing for an excluded one.
     :param estimate: its best estimate, if it was made.
     """
@@ -133,7 +133,13 @@
         list(waits.values()), _compute_unseen_s(request, candidates, queues)
     )
     selected = _select_for_estimate(request, candidates, waits, level_s, settings)
-    best = _estimate_all(request, selected, stores, settings, waits, level_s, random)
+    ways = _estimate_all(request, selected, stores, settings, waits, level_s)
+    ttft_limit_s = _find_ttft_limit_s(request, selected, settings, waits, level_s)
+    best = {
+        name: _choose_way(within, settings, random)
+        for name, estimates in ways.items()
+        if (within := [e for e in estimates if e.ttft_s <= ttft_limit_s])
+    }
     limit = min(e.cost for e in best.values()) + settings.tolerance_s
     weights = {
         name: max(0.0, level_s - waits[name])
@@ -141,8 +147,14 @@
         if estimate.cost <= limit
     }
     chosen = _draw(candidates, weights, random)
+    # Shown in the record: the fastest way of a candidate that is too slow.
+    slow = {
+        name: min(estimates, key=lambda e: e.ttft_s)
+        for name, estimates in ways.items()
+        if name not in best
+    }
     record = _build_record(
-        "choose_upstream", request, candidates, stores, queues, excluded, best
+        "choose_upstream", request, candidates, stores, queues, excluded, best, slow
     )
     return _build_plan(best[chosen], record(limit, chosen))
 
@@ -286,27 +298,38 @@
     return selected + [candidate for _, _, candidate in readiest]
 
 
-def _estimate_all(request, selected, stores, settings, waits, level_s, random):
-    """Return the best way of each selected candidate by name."""
-    best: dict[str, Estimate] = {}
+def _estimate_all(request, selected, stores, settings, waits, level_s):
+    """Return the ways of each selected candidate by name."""
+    ways: dict[str, list[Estimate]] = {}
     # Candidates without cached blocks differ only in rate and queue, and those below
     # the level not even in the queue, so most of a large group share their figures.
     alike: dict[tuple[float, float], list[Estimate]] = {}
     for candidate in selected:
         queue_s = max(waits[candidate.name], level_s)
         key = (candidate.prefill_tokens_per_s, queue_s)
-        estimates = None if candidate.n_cached_blocks else alike.get(key)
-        if estimates is None:
-            estimates = estimate_candidate(
-                request, candidate, stores, settings, queue_s
-            )
-            if not candidate.n_cached_blocks:
-                alike[key] = estimates
-        way = _choose_way(estimates, settings, random)
-        if way.upstream != candidate.name:
-            way = replace(way, upstream=candidate.name)
-        best[candidate.name] = way
-    return best
+        if not candidate.n_cached_blocks and key in alike:
+            ways[candidate.name] = [
+                replace(estimate, upstream=candidate.name) for estimate in alike[key]
+            ]
+            continue
+        estimates = estimate_candidate(request, candidate, stores, settings, queue_s)
+        ways[candidate.name] = estimates
+        if not candidate.n_cached_blocks:
+            alike[key] = estimates
+    return ways
+
+
+def _find_ttft_limit_s(request, selected, settings, waits, level_s) -> float:
+    """Return the longest TTFT that a plan may have.
+
+    The weights may make recomputation so dear that the cheapest plan is a slow one;
+    where an estimate of a fetch is wrong as well, it would be much slower than plain
+    balancing.
+    """
+    shortest = min(selected, key=lambda candidate: waits[candidate.name])
+    queue_s = max(waits[shortest.name], level_s)
+    plain = estimate_candidate(request, shortest, (), settings, queue_s)[0]
+    return plain.ttft_s + settings.ttft_slack_s
 
 
 def _choose_way(
@@ -344,7 +367,8 @@
         level_s = (total_s + unseen_s) / number
         if number == len(ordered) or level_s <= ordered[number]:
             break
-    return level_s
+    # Rounding must not put the level below the shortest queue.
+    return max(level_s, ordered[0])
 
 
 def _draw(candidates, weights: dict[str, float], random: Random) -> str:
@@ -369,14 +393,19 @@
     return min(drawn, key=n_own.__getitem__)
 
 
-def _build_record(policy, request, candidates, stores, queues, excluded, best):
+def _build_record(
+    policy, request, candidates, stores, queues, excluded, best, slow=None
+):
     """Return a function that builds the record for the chosen upstream."""
+    slow = slow or {}
 
     def find_verdict(name: str, limit: float, chosen: str) -> str:
         if name in excluded:
             return excluded[name]
         if name == chosen:
             return "chosen"
+        if name in slow:
+            return "too_slow"
         if name not in best:
             return "not_evaluated"
         return "outdrawn" if best[name].cost <= limit else "costlier"
@@ -388,7 +417,7 @@
                 verdict=find_verdict(candidate.name, limit, chosen),
                 queue_tokens=queues.get(candidate.name),
                 report_age_s=candidate.report_age_s,
-                estimate=best.get(candidate.name),
+                estimate=best.get(candidate.name) or slow.get(candidate.name),
             )
             for candidate in candidates
         )
--- a/packages/apricotlift-policy/src/apricotlift/policy/tests/routing.feature
+++ b/packages/apricotlift-policy/src/apricotlift/policy/tests/routing.feature
@@ -15,6 +15,7 @@
   Scenario: never worse than least load without stores
     Guards against stores and reuse making a request costlier than plain balancing.
     Then the plan costs at most what least load costs, for many fleets
+    And its time to first token is at most the slack longer, whatever the weights
 
   Scenario Outline: excluded upstreams
     Guards against new work on an upstream that must not have it.
--- a/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/routing_steps.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/routing_steps.py
@@ -90,12 +90,13 @@
     check()
 
 
+FLEETS = st.lists(CANDIDATES, min_size=1, max_size=25, unique_by=lambda c: c.name)
+
+
 @then("the plan costs at most what least load costs, for many fleets")
 def check_never_worse(context):
-    fleets = st.lists(CANDIDATES, min_size=1, max_size=25, unique_by=lambda c: c.name)
-
     @any_fleet
-    @any_of(fleets, st.lists(STORES, max_size=2), st.integers(0, 99))
+    @any_of(FLEETS, st.lists(STORES, max_size=2), st.integers(0, 99))
     def check(candidates, stores, seed):
         plan = choose(candidates, stores, settings=EXACT, seed=seed)
         plain = routing.least_load(REQUEST, candidates, (), EXACT, Random(seed))
@@ -104,6 +105,19 @@
     check()
 
 
+@then("its time to first token is at most the slack longer, whatever the weights")
+def check_slack(context):
+    @any_fleet
+    @any_of(FLEETS, st.lists(STORES, max_size=2), st.floats(0, 0.1), st.floats(0, 5))
+    def check(candidates, stores, w_recompute, slack_s):
+        weights = replace(SETTINGS, w_recompute=w_recompute, ttft_slack_s=slack_s)
+        plan = choose(candidates, stores, settings=weights)
+        plain = routing.least_load(REQUEST, candidates, (), weights, Random(1))
+        assert plan.estimated_ttft_s <= plain.estimated_ttft_s + slack_s + 1e-9
+
+    check()
+
+
 def find_cost(plan):
     for record in plan.record.candidates:
         if record.upstream == plan.upstream:
@@ -267,7 +281,7 @@
     assert verdicts["chosen"] == 1
     assert verdicts["draining"] == 1
     assert set(verdicts) <= {
-        *("chosen", "outdrawn", "costlier", "not_evaluated", "draining")
+        *("chosen", "outdrawn", "costlier", "too_slow", "not_evaluated", "draining")
     }
 
 
