Use the freshness state and the peers' messages in the follower

Change: the follower takes Freshness, HeadReply and DocumentReply; its scenarios check the age that Freshness computes; the lease rows' key is defined once. Conclusion: the node can hand both to the follower as they are.

--- a/packages/apricotlift-control/src/apricotlift/control/tests/steps/control_steps.py
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/steps/control_steps.py
@@ -16,9 +16,9 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.settings import load_settings as load_node_settings
 from apricotlift.platform import Row
-from apricotlift.state.acceptance import MEMBER_PK
 from apricotlift.state.configuration import HEAD_KEY
 from apricotlift.state.declarations import load_declarations, parse_declarations
+from apricotlift.state.lease import MEMBER_PK
 from apricotlift.state.tests.configuration_fakes import FakeObjects, FakeTable
 from behave import given, then
 
--- a/packages/apricotlift-state/src/apricotlift/state/acceptance.py
+++ b/packages/apricotlift-state/src/apricotlift/state/acceptance.py
@@ -17,8 +17,7 @@
 from apricotlift.core.clocks import monotonic
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.platform import Row, Table
-
-MEMBER_PK = "member"
+from apricotlift.state.lease import MEMBER_PK
 
 #: Time without a renewal after which a lease counts as expired. Longer than the 8 s
 #: after which a node that is cut off stops serving.
--- a/packages/apricotlift-state/src/apricotlift/state/follower.py
+++ b/packages/apricotlift-state/src/apricotlift/state/follower.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
-from typing import Protocol
 
 import anyio
 from apricotlift.core import logs
@@ -18,7 +17,9 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.platform import ObjectStore, Table
 from apricotlift.state.configuration import Head, check_document, read_head
+from apricotlift.state.freshness import Freshness
 from apricotlift.state.snapshots import Snapshot
+from apricotlift.wire.messages import DocumentReply, HeadReply
 
 READ_TIMEOUT_S = 0.8
 POLL_INTERVAL_S = 1.0
@@ -35,22 +36,6 @@
 DOCUMENT_TIMEOUT_S = 1.5
 
 
-class HeadAnswer(Protocol):
-    """What a peer knows of the head; ``wire.messages.HeadReply`` has this form."""
-
-    version: int
-    digest: str
-    age_ms: int
-    known: bool
-
-
-class DocumentAnswer(Protocol):
-    """A document of a peer; ``wire.messages.DocumentReply`` has this form."""
-
-    found: bool
-    body: bytes
-
-
 @dataclass(frozen=True)
 class Peers:
     """Calls to other nodes.
@@ -63,27 +48,8 @@
     """
 
     choose: Callable[[int], Sequence[str]]
-    request_head: Callable[[str], Awaitable[HeadAnswer]]
-    request_document: Callable[[str, str], Awaitable[DocumentAnswer]]
-
-
-class Freshness(Protocol):
-    """What the follower reports; ``freshness.Freshness`` has this form.
-
-    A read is reported before the version that it returned is put in force.
-    """
-
-    def observe_read(self, version: int, started_at: float) -> None:
-        """Note what a read of the head returned that began at this time."""
-
-    def observe_peer(self, version: int, age_s: float, started_at: float) -> None:
-        """Note a peer's head, its age, and when the request to it began."""
-
-    def observe_hint(self, version: int) -> None:
-        """Note that a version exists, without a confirmation."""
-
-    def put_in_force(self, version: int) -> bool:
-        """Note that a version is in force; return whether it is newer."""
+    request_head: Callable[[str], Awaitable[HeadReply]]
+    request_document: Callable[[str, str], Awaitable[DocumentReply]]
 
 
 @dataclass(frozen=True)
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/acceptance_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/acceptance_steps.py
@@ -1,7 +1,8 @@
 """Steps for the acceptance of a configuration, on a clock of the test's own."""
 
 import anyio
-from apricotlift.state.acceptance import MEMBER_PK, wait_for_acceptance
+from apricotlift.state.acceptance import wait_for_acceptance
+from apricotlift.state.lease import MEMBER_PK
 from apricotlift.state.tests.configuration_fakes import FakeTable
 from behave import given, then, when
 
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/follower_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/follower_steps.py
@@ -3,7 +3,6 @@
 import random
 from collections import Counter
 from datetime import date
-from types import SimpleNamespace
 
 import anyio
 import anyio.lowlevel
@@ -16,8 +15,10 @@
     parse_declarations,
 )
 from apricotlift.state.follower import ConfigurationFollower, Peers
+from apricotlift.state.freshness import Freshness
 from apricotlift.state.snapshots import Snapshot, hash_key
 from apricotlift.state.tests.configuration_fakes import FakeObjects, FakeTable
+from apricotlift.wire.messages import DocumentReply, HeadReply
 from behave import given, then, when
 
 ROUND_TRIP_S = 0.05
@@ -33,23 +34,15 @@
         self.objects = FakeObjects()
         self.metrics = Metrics()
         self.peer_head = None
-        self.observed = []
         self.applied = []
         self.documents = {}
         peers = Peers(lambda n: ["p1", "p2"][:n], self.ask_head, self.ask_document)
-        freshness = SimpleNamespace(
-            observe_read=lambda version, at: self.observed.append((version, at)),
-            observe_peer=lambda version, age_s, at: self.observed.append(
-                (version, at - age_s)
-            ),
-            observe_hint=lambda version: None,
-            put_in_force=lambda version: True,
-        )
+        self.freshness = Freshness(self.metrics, lambda: self.now_s)
         self.follower = ConfigurationFollower(
             self.platform,
             self.objects,
             peers,
-            freshness,
+            self.freshness,
             self.metrics,
             random.Random(SEED),
             lambda snapshot: self.applied.append(snapshot.version),
@@ -84,15 +77,13 @@
         self.now_s += ROUND_TRIP_S / 2
         version, age_ms = self.peer_head
         digest = self.documents[version][0]
-        return SimpleNamespace(
-            version=version, digest=digest, age_ms=age_ms, known=True
-        )
+        return HeadReply(version=version, digest=digest, age_ms=age_ms, known=True)
 
     async def ask_document(self, peer, digest):
         bodies = dict(self.documents.values())
         if self.peer_head is None:
             raise ApricotliftError(Code.PEER_UNREACHABLE, peer)
-        return SimpleNamespace(found=digest in bodies, body=bodies.get(digest, b""))
+        return DocumentReply(found=digest in bodies, body=bodies.get(digest, b""))
 
     def poll(self):
         anyio.run(self.follower.poll)
@@ -206,8 +197,8 @@
 def check_in_force(context, version, age):
     world = context.world
     assert world.follower.version == version, world.follower.version
-    as_of = max(at for seen, at in world.observed if seen == version)
-    assert abs(world.now_s - as_of - age) < 1e-6, world.now_s - as_of
+    assert world.freshness.version == version, world.freshness.version
+    assert abs(world.freshness.get_age() - age) < 1e-6, world.freshness.get_age()
 
 
 @then('the configuration follower told the lease row of versions "{versions}"')
@@ -230,7 +221,7 @@
 
 @then("the configuration follower noticed version {version:d}")
 def check_noticed(context, version):
-    assert version in dict(context.world.observed), context.world.observed
+    assert context.world.freshness.newest_version == version
 
 
 @then("putting version {version:d} of the configuration in force is refused as a fault")
