Add the operators' page

Cause: operators need to know how to install a fleet, what each command and exit code means, and what to do on a conflict or a change that isn't accepted. Change: docs/operators.md with the reference of all sections and keys; a scenario compares keys, defaults, commands and exit codes with the program.

--- a/packages/apricotlift-control/src/apricotlift/control/tests/control.feature
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/control.feature
@@ -166,3 +166,8 @@
   # Guards against: a command without an example or without its exit codes.
   Scenario: The help of each command has an example and its exit codes
     Then the help of each command has "Example:" and "Exit codes:"
+
+  # Guards against: a reference page that lacks a key or names an old default.
+  Scenario: The operators' page lists each key, default, command and exit code
+    Then the operators' page lists each key of the declarations with its default
+    And the operators' page lists each command and exit code
--- a/packages/apricotlift-control/src/apricotlift/control/tests/steps/control_steps.py
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/steps/control_steps.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from apricotlift.control import commands, main
+from apricotlift.control.exits import Exit
 from apricotlift.control.settings import load_settings
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.settings import load_settings as load_node_settings
@@ -19,6 +20,7 @@
 from apricotlift.state.configuration import HEAD_KEY
 from apricotlift.state.declarations import load_declarations, parse_declarations
 from apricotlift.state.lease import MEMBER_PK
+from apricotlift.state.sections import MODELS
 from apricotlift.state.tests.configuration_fakes import FakeObjects, FakeTable
 from behave import given, then
 
@@ -301,3 +303,37 @@
             except SystemExit as error:
                 assert error.code == 0, name
         assert first in output.getvalue() and second in output.getvalue(), name
+
+
+def format_default(field):
+    if field.is_required():
+        return "needed"
+    if isinstance(field.default, bool):
+        return "yes" if field.default else "no"
+    if isinstance(field.default, float):
+        return f"{field.default:g}"
+    return str(field.default) if field.default else "empty"
+
+
+@then("the operators' page lists each key of the declarations with its default")
+def check_reference(context):
+    page = (ROOT / "docs" / "operators.md").read_text()
+    for section, model in MODELS.items():
+        title = section if section == "fleet" else f"{section} NAME"
+        part = page.partition(f"### `[{title}]`\n")[2].partition("###")[0]
+        listed = [line[3:] for line in part.splitlines() if line.startswith("| `")]
+        fields = {
+            key: item for key, item in model.model_fields.items() if key != "name"
+        }
+        assert len(listed) == len(fields), (section, listed)
+        for line, (key, item) in zip(listed, fields.items(), strict=True):
+            assert line.startswith(f"{key}` | {format_default(item)} |"), line
+
+
+@then("the operators' page lists each command and exit code")
+def check_commands(context):
+    page = (ROOT / "docs" / "operators.md").read_text()
+    for name in NAMES:
+        assert f"| `{name}" in page, name
+    for code in Exit:
+        assert f"| {code.value} | " in page, code
