Test acceptance with member processes, one of them frozen

Cause: acceptance, lease rows and the follower were only tested apart. Change: a member process that follows the head and keeps its lease row; a scenario applies changes to three of them, freezes one and wakes it again.

--- a/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import shutil
+import signal
 from pathlib import Path
 
 import anyio
@@ -16,6 +17,7 @@
 
 ROOT = Path(__file__).resolve().parents[7]
 MODULE = "apricotlift.control.main"
+MEMBER_MODULE = "apricotlift.state.tests.memberprocess"
 
 
 def set_faults(context, **faults):
@@ -29,9 +31,10 @@
     anyio.run(post)
 
 
-def start_apply(context, author, folder, base):
+def start_apply(context, author, folder, base, wait_s=0):
     arguments = ["apply", "--settings", str(context.settings), "--base", str(base)]
-    arguments += ["--message", f"for {author}", "--author", author, "--wait-s", "0"]
+    arguments += ["--message", f"for {author}", "--author", author]
+    arguments += ["--wait-s", str(wait_s)]
     return context.processes.start_module(author, MODULE, *arguments, str(folder))
 
 
@@ -138,3 +141,65 @@
         assert declarations == load_declarations([context.folders[context.winner]])
 
     anyio.run(check)
+
+
+def list_applied(process):
+    lines = process.read_log()
+    return [line["version"] for line in lines if line.get("event") == "config_applied"]
+
+
+@given("{n_members:d} member processes")
+def start_members(context, n_members):
+    context.members = {}
+    for number in range(1, n_members + 1):
+        name = f"m{number}"
+        process = context.processes.start_module(
+            name, MEMBER_MODULE, name, context.address
+        )
+        context.members[name] = process
+    for process in context.members.values():
+        process.wait_for_event("config_applied", version=1)
+
+
+@when('an operator\'s process applies "{author}" to version {base:d} and waits')
+def apply_and_wait(context, author, base):
+    folder = write_changed(context, author, base)
+    context.started = [start_apply(context, author, folder, base, wait_s=120)]
+    context.exits = [context.started[0].wait(180)]
+
+
+@then('that process says "{text}"')
+def check_says(context, text):
+    log = context.started[0].log_file.read_text()
+    assert text in log, log
+
+
+@when('the member process "{name}" is frozen')
+def freeze(context, name):
+    context.members[name].send_signal(signal.SIGSTOP)
+    context.n_lines_before = len(context.members[name].read_log())
+
+
+@when('the member process "{name}" wakes up')
+def wake(context, name):
+    context.members[name].send_signal(signal.SIGCONT)
+
+
+@then(
+    'the member process "{name}" isn\'t current when it wakes and then has version {version:d}'
+)
+def check_awake(context, name, version):
+    process = context.members[name]
+    process.wait_for_event("config_applied", version=version)
+    lines = process.read_log()[context.n_lines_before :]
+    standings = [
+        line["is_current"] for line in lines if line.get("event") == "standing"
+    ]
+    assert standings[:1] == [False], lines
+
+
+@then("no member process ever applied a lower version")
+def check_order(context):
+    for process in context.members.values():
+        applied = list_applied(process)
+        assert applied == sorted(set(applied)) and applied[-1] == 3, applied
