Catch two suspect faults that the scenarios had missed

Cause: with the boot id left out of a crash's identity, and with run rows that are never deleted, all suspect scenarios still passed in a scratch copy. Change: the scenario of one crash that two nodes report waits until the second one has seen the row; a scenario lets a reservation reach the table after the run's end, which only the owner's poll removes.

--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/suspect_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/suspect_steps.py
@@ -178,7 +178,23 @@
     )
 
 
-@given("the suspect table drops the answer of the next write")
-def drop_answer(context):
+@given("the suspect writes take {n:d} s")
+def slow_writes(context, n):
+    # Longer than the client's limit of 1 s, so the answer doesn't arrive.
     world = context.suspect_world
-    world.portal.call(world.set_faults, {"n_drop_after": 1})
+    world.portal.call(world.set_faults, {"delay_s": n, "delay_writes_only": True})
+
+
+@then("the suspect table comes to show {n:d} writes and no rows")
+def wait_for_writes(context, n):
+    world = context.suspect_world
+
+    async def wait() -> None:
+        with anyio.fail_after(WAIT_S):
+            truth = {}
+            while truth.get("n_writes") != n or truth["rows"]:
+                await anyio.sleep(0.05)
+                url = f"http://{world.address}/truth"
+                truth = json.loads((await world.pool.request("GET", url)).body)
+
+    world.portal.call(wait)
--- a/packages/apricotlift-state/src/apricotlift/state/tests/suspects.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/suspects.feature
@@ -21,9 +21,10 @@
     Given the suspect nodes "n1, n2"
     When the suspect node "n1" reports "fp" for boot "b1"
     And the suspect node "n1" reports "fp" for boot "b1"
-    And the suspect node "n2" reports "fp" for boot "b1"
-    Then the suspect node "n2" counts 1 crashes of "fp" at once
+    Then the suspect node "n1" counts 1 crashes of "fp" at once
     And the suspect node "n2" comes to count 1 crashes of "fp"
+    When the suspect node "n2" reports "fp" for boot "b1"
+    Then the suspect node "n2" counts 1 crashes of "fp" at once
 
   Scenario: The owner of the shard key counts at once
     Guards against a second crash within the two seconds between polls.
@@ -87,11 +88,12 @@
     When the suspect nodes "n3" reserve upstream "e2" at once
     Then 3 suspect runs were reserved
 
-  Scenario: A reservation whose answer was lost
+  Scenario: A reservation that reaches the table after its run's end
     Guards against a row that occupies an upstream although nothing runs there.
-    Given the suspect nodes "n1, n2"
-    And the suspect table drops the answer of the next write
+    Given the suspect nodes "n1"
+    And the suspect writes take 2 s
     When the suspect nodes "n1" reserve upstream "e2" at once
     Then 1 suspect runs were reserved
-    When the suspect run of "n1" breaks off
-    Then the suspect node "n2" comes to see "e2" as free
+    When the suspect table is back
+    And the suspect run of "n1" breaks off
+    Then the suspect table comes to show 2 writes and no rows
