--- a/standins/engine.py
+++ b/standins/engine.py
@@ -265,8 +265,8 @@
 
 def _cancel(engine: Engine, stream: Stream) -> None:
     stream.cancelled = True
+    stream.ended_at = clocks.monotonic()
     engine.batch.cancel(stream)
-    engine.streams.pop(stream.attempt_id, None)
     stream.wake()
 
 
@@ -279,7 +279,7 @@
             "finished": stream.finished,
         }
         for stream in engine.streams.values()
-        if stream.attempt_id.startswith(prefix)
+        if stream.attempt_id.startswith(prefix) and not stream.cancelled
     ]
     return build_json_reply({"streams": streams})
 
@@ -317,8 +317,6 @@
             await out.write(b"data: [DONE]\n\n")
             break
         await changed.wait()
-    if stream.cancelled:
-        raise ConnectionResetError("the stream was cancelled")
     await out.finish()
 
 
@@ -353,7 +351,8 @@
         await anyio.sleep(_SWEEP_S)
         limit = clocks.monotonic() - engine.retention_s
         for attempt_id, stream in list(engine.streams.items()):
-            if stream.finished and stream.ended_at < limit:
+            ended = stream.finished or stream.cancelled
+            if ended and stream.ended_at < limit:
                 del engine.streams[attempt_id]
 
 
