Query the members sooner after the start

Cause: nodes that start together found no rows at their first query, and the next one came 15 s later. Change: the interval starts at 1 s and doubles up to 15 s. Figures (trial: eight nodes in one process with the platform stand-in): all proven to each other after 14.96 s before, 2.94 s after. Conclusion: a fleet that starts at once forms within seconds.

--- a/packages/apricotlift-state/src/apricotlift/state/membership.py
+++ b/packages/apricotlift-state/src/apricotlift/state/membership.py
@@ -34,6 +34,10 @@
 
 QUERY_S = 15.0
 
+#: Nodes that start together find no rows at first. The interval doubles from this
+#: one, so that they know each other within seconds.
+FIRST_QUERY_S = 1.0
+
 #: Longer than the three hours for which an uncertain node may serve, so that a
 #: member whose row is deleted can't be serving.
 UNRENEWED_ROW_S = 4 * 3600.0
@@ -205,13 +209,15 @@
             await anyio.sleep(RENEWAL_S if is_renewed else _RETRY_S)
 
     async def _keep_members(self) -> None:
+        interval_s = FIRST_QUERY_S
         while True:
             try:
                 await self.query_members()
             except ApricotliftError as error:
                 self._metrics.count("member_query_failures_total", code=error.code)
             # Jitter keeps the nodes from reading the table at the same time.
-            await anyio.sleep(QUERY_S * self._random.uniform(0.8, 1.2))
+            await anyio.sleep(interval_s * self._random.uniform(0.8, 1.2))
+            interval_s = min(2 * interval_s, QUERY_S)
 
     async def _keep_gossip(self) -> None:
         while True:
