Pass newer versions from gossip to the follower

Cause: a follower polls once a second; gossip often names a new version sooner. Change: Gossip.on_newer_version, which ConfigurationFollower.notice_version fits. Conclusion: the node binary can connect the two.

--- a/packages/apricotlift-state/src/apricotlift/state/gossip.py
+++ b/packages/apricotlift-state/src/apricotlift/state/gossip.py
@@ -54,6 +54,9 @@
 
     :param request: sends a message to an address and returns the reply, within
         seconds.
+
+    ``on_newer_version`` is called with a version above the one in force whenever a
+    message names one; ``follower.ConfigurationFollower.notice_version`` fits.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         self._metrics = metrics
         self._random = random
         self._clock = clock
+        self.on_newer_version: Callable[[int], None] = lambda version: None
         self._sample: list[str] = []
         self._sample_renewed_at = NEVER
         # Clocks of two machines at one address can't be told apart by their times.
@@ -213,6 +217,8 @@
         newest = max(message.base_version, message.config_version)
         self._view.see_version(newest)
         self._freshness.observe_hint(newest)
+        if newest > (self._freshness.version or 0):
+            self.on_newer_version(newest)
 
     def _match_roster(self, reply: HeartbeatReply) -> list[Member | None] | None:
         """Return the member of each place in the reply's roster, if it is known."""
--- a/packages/apricotlift-state/src/apricotlift/state/tests/gossip.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/gossip.feature
@@ -45,6 +45,7 @@
     Given a gossip cluster of 8 nodes that ran for 5 s
     When gossip node 3 has a newer version and 3 s pass
     Then uncertain admission at gossip node 0 names the newer version
+    And gossip node 0 passes the newer version to its follower
 
   Scenario: Joins, drains and departures spread without the table
     Guards against a member that is named to callers after it left.
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/gossip_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/gossip_steps.py
@@ -107,6 +107,8 @@
 
 @when("gossip node {number:d} has a newer version and {seconds:d} s pass")
 def put_newer_version(context, number, seconds):
+    context.noticed = []
+    get_node(context, 0).on_newer_version = context.noticed.append
     freshness = list(context.cluster.freshness.values())[number]
     freshness.observe_read(701, context.cluster.now)
     freshness.put_in_force(701)
@@ -207,6 +209,11 @@
     assert foreign_proofs == []
 
 
+@then("gossip node 0 passes the newer version to its follower")
+def check_noticed(context):
+    assert set(context.noticed) == {701}, context.noticed
+
+
 @then("uncertain admission at gossip node 0 names the newer version")
 def check_newer(context):
     freshness = next(iter(context.cluster.freshness.values()))
