Limit what strangers can make a node read ahead

Cause: websockets reads 16 frames ahead by default, so 128 strangers could make a node hold 512 MiB until their handshakes time out. Change: 4 frames are read ahead, and 64 unauthenticated connections are admitted. Figures: the bound falls from 512 MiB to 64 MiB (computed, not measured).

--- a/packages/apricotlift-wire/src/apricotlift/wire/listener.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/listener.py
@@ -30,7 +30,11 @@
 
 #: Connections that have not proved the secret yet; more are cut off at once, so
 #: that strangers can't take the node's memory.
-MAX_UNAUTHENTICATED = 128
+MAX_UNAUTHENTICATED = 64
+
+#: Frames that are read ahead of the handler. Strangers can make a connection hold
+#: this many frames of the largest size until the handshake times out.
+MAX_READ_AHEAD = 4
 
 #: Requests of one connection that run at the same time. Reading stops above it,
 #: so a peer that sends faster is slowed by TCP.
@@ -90,6 +94,7 @@
             process_request=self._check_path,
             compression=None,
             max_size=MAX_FRAME_BYTES,
+            max_queue=MAX_READ_AHEAD,
             open_timeout=HANDSHAKE_TIMEOUT_S,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_INTERVAL_S,
