Admit interactive requests past waiting batch requests

Cause: a waiting batch request made a new interactive request wait although there was room for it. Change: only waiting requests of the same or a higher class go before a new one.

--- a/packages/apricotlift-policy/src/apricotlift/policy/admission.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/admission.py
@@ -56,11 +56,11 @@
 
 @dataclass(frozen=True)
 class AdmissionRequest:
-    """A request at the door.
+    """A request that asks for admission.
 
     :param time_left_s: time until the caller's deadline.
     :param estimated_s: estimated time until its response is complete, without a wait
-        at the door.
+        for admission.
     :param account_limit: declared in-flight limit of the account.
     """
 
@@ -151,7 +151,7 @@
         share = self.compute_share(request.account)
         if account.n_in_flight + account.n_waiting >= max(1.0, share):
             raise self._refuse_account(Code.OVERLOADED, account, share)
-        if self._has_room(request.request_class, n_ahead=len(self._waiting)):
+        if not self._count_ahead(request) and self._has_room(request.request_class):
             self._admit(request.account)
             return Verdict.ADMIT
         return self._queue(request, now_s)
@@ -182,7 +182,7 @@
         admitted: list[str] = []
         while self._waiting:
             waiting = min(self._waiting.values(), key=self._rank)
-            if not self._has_room(waiting.request.request_class, n_ahead=0):
+            if not self._has_room(waiting.request.request_class):
                 break
             self.cancel(waiting.request.request_id)
             self._admit(waiting.request.account)
@@ -224,9 +224,14 @@
         elif self.n_in_flight <= settings.leave_share * self.capacity:
             self.is_full = False
 
-    def _has_room(self, request_class: RequestClass, n_ahead: int) -> bool:
-        if n_ahead:
-            return False
+    def _count_ahead(self, request: AdmissionRequest) -> int:
+        """Return how many waiting requests go before a new one."""
+        return sum(
+            waiting.request.request_class <= request.request_class
+            for waiting in self._waiting.values()
+        )
+
+    def _has_room(self, request_class: RequestClass) -> bool:
         share = 1.0
         if request_class is RequestClass.INTERACTIVE:
             share = self.settings.overshoot_share
@@ -237,11 +242,11 @@
         self.n_in_flight += 1
 
     def _queue(self, request: AdmissionRequest, now_s: float) -> Verdict:
-        n_ahead = sum(
-            waiting.request.request_class <= request.request_class
-            for waiting in self._waiting.values()
+        wait_s = (
+            (self._count_ahead(request) + 1)
+            * self.duration_s
+            / max(1, self.n_in_flight)
         )
-        wait_s = (n_ahead + 1) * self.duration_s / max(1, self.n_in_flight)
         if wait_s + request.estimated_s > request.time_left_s:
             raise _refuse_deadline(request, wait_s + request.estimated_s)
         if len(self._waiting) >= self.settings.n_waiting_max:
--- a/packages/apricotlift-policy/src/apricotlift/policy/routing.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/routing.py
@@ -223,7 +223,7 @@
     chosen = take(allowed, queues)
     queue_s = queues[chosen.name] / chosen.prefill_tokens_per_s
     if fetch_all:
-        # The deployment's weights must not talk this baseline out of fetching.
+        # With the deployment's weights, this baseline wouldn't always fetch.
         settings = replace(settings, w_ttft=0.0, w_recompute=1.0, w_link=0.0)
     else:
         stores = ()
@@ -322,7 +322,7 @@
 def _find_ttft_limit_s(request, selected, settings, waits, level_s) -> float:
     """Return the longest TTFT that a plan may have.
 
-    The weights may make recomputation so dear that the cheapest plan is a slow one;
+    The weights may make recomputation so costly that the cheapest plan is a slow one;
     where an estimate of a fetch is wrong as well, it would be much slower than plain
     balancing.
     """
--- a/packages/apricotlift-policy/src/apricotlift/policy/tests/admission.feature
+++ b/packages/apricotlift-policy/src/apricotlift/policy/tests/admission.feature
@@ -24,6 +24,7 @@
     When the fleet is full and both classes wait
     Then interactive requests are admitted before batch ones that waited longer
     And the account with fewer requests in flight goes first
+    And an interactive request doesn't wait behind a batch one
 
   Scenario: deadlines that can't be met
     Guards against work whose result nobody waits for any more.
--- a/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/admission_steps.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/tests/steps/admission_steps.py
@@ -129,6 +129,15 @@
     assert admission.admit_waiting(1.0)[0] == ["of-e"]
 
 
+@then("an interactive request doesn't wait behind a batch one")
+def check_not_behind_batch(context):
+    admission = Admission(AdmissionSettings(), 10)
+    for _ in range(10):
+        assert send(admission, "a") == "admit"
+    assert send(admission, "b", "batch", request_class=BATCH) == "wait"
+    assert send(admission, "c", "interactive") == "admit"
+
+
 @then("an estimate beyond the deadline is refused at once, even when idle")
 def check_deadline(context):
     result = send(context.admission, "a", time_left_s=1.0, estimated_s=1.5)
