Select the routing policy of a node by its settings

Cause: a comparison of policies against real nodes needs nodes that run a named baseline. Change: section [routing] with policy = NAME, checked against the builders in policy.routing.POLICIES; the default stays choose_upstream.

--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -33,6 +33,7 @@
     load_settings,
 )
 from apricotlift.node.streams import StreamRegistry
+from apricotlift.policy.routing import POLICIES
 from apricotlift.upstreams.pool import Pool
 
 EXIT_FINDINGS = 5
@@ -99,7 +100,8 @@
         tasks = await stack.enter_async_context(anyio.create_task_group())
         probes = Probes(settings.node.name, pool, metrics)
         links = Links(metrics)
-        placer = Placer(cluster, probes, pool, metrics, links)
+        policy = POLICIES[settings.routing.policy]()
+        placer = Placer(cluster, probes, pool, metrics, links, policy)
         exporter = Exporter(cluster, probes, links, pool, metrics)
         streams = StreamRegistry(settings.streams.retention_s)
         node = Node(
--- a/packages/apricotlift-node/src/apricotlift/node/settings.py
+++ b/packages/apricotlift-node/src/apricotlift/node/settings.py
@@ -8,6 +8,7 @@
 
 from apricotlift.core.findings import Findings, Place
 from apricotlift.core.inifile import IniSection, build_section, read_ini
+from apricotlift.policy.routing import POLICIES
 from pydantic import AfterValidator, BaseModel, Field
 
 
@@ -96,6 +97,18 @@
     peer_ca: str = ""
 
 
+def _check_policy(value: str) -> str:
+    if value not in POLICIES:
+        raise ValueError(f"expected one of {', '.join(POLICIES)}")
+    return value
+
+
+class RoutingModel(BaseModel):
+    """``[routing]``; a policy other than the default is for comparisons."""
+
+    policy: Annotated[str, AfterValidator(_check_policy)] = "choose_upstream"
+
+
 class StreamsModel(BaseModel):
     """``[streams]``."""
 
@@ -117,6 +130,7 @@
     stop: StopModel = field(default_factory=StopModel)
     tls: TlsModel = field(default_factory=TlsModel)
     streams: StreamsModel = field(default_factory=StreamsModel)
+    routing: RoutingModel = field(default_factory=RoutingModel)
 
 
 _SECTIONS: dict[str, type[BaseModel]] = {
@@ -129,6 +143,7 @@
     "stop": StopModel,
     "tls": TlsModel,
     "streams": StreamsModel,
+    "routing": RoutingModel,
 }
 _REQUIRED = ("node", "cluster", "platform")
 
--- a/packages/apricotlift-policy/src/apricotlift/policy/routing.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/routing.py
@@ -197,6 +197,17 @@
     return choose_upstream(request, candidates, (), settings, random)
 
 
+POLICIES: dict[str, Callable[[], Policy]] = {
+    "choose_upstream": lambda: choose_upstream,
+    "round_robin": make_round_robin,
+    "least_load": lambda: least_load,
+    "prefix_affinity": lambda: prefix_affinity,
+    "always_fetch": lambda: always_fetch,
+    "always_recompute": lambda: always_recompute,
+}
+"""Builders by name; each node builds its own, because a policy may keep state."""
+
+
 def _take_shortest(allowed, queues):
     def compute_wait_s(candidate):
         return queues[candidate.name] / candidate.prefill_tokens_per_s
