--- a/bench/replaycheck.py
+++ b/bench/replaycheck.py
@@ -154,6 +154,7 @@
         "export",
         "prefix_",
         "owner_queries",
+        "peer_",
         "placements",
         "kv_events",
         "cached_tokens",
