Keep prefix hints by block and drop them on cache events

Cause: an owner kept one chain per holder and shard, so conversations with the same first block overwrote each other's hints; nothing followed the engines' cache events, so evicted blocks stayed hinted. The stand-in named an import's first block as the root of its removal events.

--- a/bench/replaycheck.py
+++ b/bench/replaycheck.py
@@ -161,6 +161,7 @@
         "prompt_tokens",
         "link_bytes",
         "store_drops",
+        "block_drops",
         "dropped",
     )
     return {
--- a/packages/apricotlift-node/src/apricotlift/node/cluster.py
+++ b/packages/apricotlift-node/src/apricotlift/node/cluster.py
@@ -3,7 +3,7 @@
 import random
 import socket
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from typing import Self
 
@@ -29,6 +29,7 @@
     ClearSuspect,
     DocumentReply,
     DocumentRequest,
+    DropBlocks,
     FindAttempt,
     FindAttemptReply,
     HeadReply,
@@ -191,7 +192,14 @@
 
     async def tell_owners(self, key: bytes | str, message: Message) -> None:
         """Send a message to a shard's owners without waiting for an answer."""
-        for owner in self.membership.view.choose_owners(key):
+        await self._tell(self.membership.view.choose_owners(key), message)
+
+    async def tell_all(self, message: Message) -> None:
+        """Send a message to all nodes that may own shards, this one included."""
+        await self._tell(self.membership.view.get_eligible(), message)
+
+    async def _tell(self, nodes: Iterable[str], message: Message) -> None:
+        for owner in nodes:
             if owner == self.node_id:
                 await self._handlers[type(message)](message, self._get_identity())
                 continue
@@ -221,6 +229,7 @@
             DocumentRequest: self._answer_document,
             Locate: self._answer_locate,
             RecordRuns: self._take_runs,
+            DropBlocks: self._take_drops,
             ReportCrash: self._take_crash,
             ClearSuspect: self._take_clear,
             RecordAttempt: self._take_attempt,
@@ -304,6 +313,14 @@
     async def _take_runs(self, message: RecordRuns, peer: Identity) -> None:
         self.prefixes.record(message.shard_key, message.runs)
 
+    async def _take_drops(self, message: DropBlocks, peer: Identity) -> None:
+        if not message.blocks:
+            self.prefixes.forget_holder(message.holder, message.boot_id)
+            return
+        self.prefixes.trim(
+            message.shard_key, message.holder, message.boot_id, message.blocks
+        )
+
     async def _take_crash(self, message: ReportCrash, peer: Identity) -> Ack:
         self.suspects.note_crash(
             message.fingerprint.hex(), message.upstream, message.boot_id
--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -9,6 +9,7 @@
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.metrics import Metrics
 from apricotlift.node.admin import build_admin_app
+from apricotlift.node.cacheevents import follow_engines
 from apricotlift.node.cluster import Cluster
 from apricotlift.node.drain import is_busy, wait_for_stop
 from apricotlift.node.exports import Exporter
@@ -119,6 +120,9 @@
         tasks.start_soon(watch_attempts, node)
         tasks.start_soon(probes.probe_all, node.get_declarations, node.get_engine)
         tasks.start_soon(exporter.run, node.get_declarations, node.get_engine)
+        tasks.start_soon(
+            follow_engines, cluster, metrics, node.get_declarations, node.get_engine
+        )
         orders = build_order_owner(node)
         tasks.start_soon(run_orders, node, orders)
         servers = [
--- a/packages/apricotlift-state/src/apricotlift/state/prefixes.py
+++ b/packages/apricotlift-state/src/apricotlift/state/prefixes.py
@@ -2,14 +2,15 @@
 
 A block's digest covers the client account, the slot (model, weight version and
 adapter) and the whole prompt up to the block's end, so blocks of another account or
-weight version never match. An owner of a shard keeps, for each holder, the longest
-chain that it was told of. All of it is hints: the requester checks boot ids and the
+weight version never match. An owner of a shard keeps, for each holder, the blocks
+that it was told of. All of it is hints: the requester checks boot ids and the
 engine's own count of cached tokens.
 """
 
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import takewhile
 
 from apricotlift.core import clocks
 from apricotlift.core.hashing import digest
@@ -19,9 +20,12 @@
 #: Conversations that one owner remembers; the least recently used go first.
 MAX_SHARDS = 20_000
 
-#: Runs of one conversation: as many holders as a prompt can usefully have.
+#: Holders of one shard: as many as a prompt can usefully have.
 MAX_RUNS_PER_SHARD = 8
 
+#: Blocks of one holder in one shard; those not reported for longest go first.
+MAX_BLOCKS_PER_HOLDER = 5_000
+
 
 def build_chain(
     account: str, slot: str, prompt: str, chunk_bytes: int
@@ -46,66 +50,51 @@
     return tuple(chain)
 
 
-def count_common(first: Sequence[bytes], second: Sequence[bytes]) -> int:
-    """Return how many leading blocks two chains share.
+@dataclass
+class _Holding:
+    """What one holder has of one shard.
 
-    Each digest covers all blocks before it, so two chains that agree at a place
-    agree everywhere before it; a binary search finds the last such place.
+    :param blocks: when each block was last reported, the oldest first.
     """
-    low, high = 0, min(len(first), len(second))
-    while low < high:
-        middle = (low + high + 1) // 2
-        if first[middle - 1] == second[middle - 1]:
-            low = middle
-        else:
-            high = middle - 1
-    return low
 
-
-@dataclass
-class _HeldRun:
     boot_id: str
     is_store: bool
-    blocks: tuple[bytes, ...]
     seen_at: float
+    blocks: OrderedDict[bytes, float] = field(default_factory=OrderedDict)
 
 
 @dataclass
 class PrefixIndex:
-    """The prefix runs of the shards that this node owns."""
+    """The prefix runs of the shards that this node owns.
+
+    Conversations that begin alike share a shard, so blocks are kept one by one: a
+    run of one conversation leaves those of the others in place.
+    """
 
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     max_shards: int = MAX_SHARDS
-    _shards: OrderedDict[bytes, dict[str, _HeldRun]] = field(
+    max_blocks: int = MAX_BLOCKS_PER_HOLDER
+    _shards: OrderedDict[bytes, dict[str, _Holding]] = field(
         default_factory=OrderedDict
     )
 
     @property
     def n_shards(self) -> int:
-        """How many conversations are remembered."""
+        """How many shards are remembered."""
         return len(self._shards)
 
     def record(self, shard_key: bytes, runs: Sequence[PrefixRun]) -> None:
-        """Remember runs; a run replaces what its holder was known to have.
+        """Remember runs.
 
-        A run without blocks removes the holder's entry.
+        A run adds to what its holder is known to have; one of another boot replaces
+        it, and one without blocks removes the holder.
         """
         now = self.clock()
         held = self._shards.setdefault(shard_key, {})
         self._shards.move_to_end(shard_key)
         for run in runs:
-            seen_at = now - run.age_ms / 1000
-            known = held.get(run.holder)
-            if known is not None and known.seen_at > seen_at:
-                self.metrics.count("prefix_runs_ignored_total", reason="older")
-                continue
-            if not run.blocks:
-                held.pop(run.holder, None)
-                continue
-            held[run.holder] = _HeldRun(
-                run.boot_id, run.is_store, tuple(run.blocks), seen_at
-            )
+            self._record_run(held, run, now - run.age_ms / 1000)
         while len(held) > MAX_RUNS_PER_SHARD:
             del held[min(held, key=lambda name: held[name].seen_at)]
         if not held:
@@ -122,26 +111,63 @@
         self._shards.move_to_end(shard_key)
         now = self.clock()
         found = []
-        for holder, run in held.items():
-            n_common = count_common(run.blocks, chain)
-            if n_common:
-                age_ms = max(0, int((now - run.seen_at) * 1000))
-                blocks = list(run.blocks[:n_common])
+        for holder, holding in held.items():
+            blocks = list(takewhile(holding.blocks.__contains__, chain))
+            if blocks:
+                age_ms = max(0, int((now - holding.blocks[blocks[-1]]) * 1000))
                 found.append(
-                    PrefixRun(holder, run.is_store, run.boot_id, blocks, 0, age_ms)
+                    PrefixRun(
+                        holder, holding.is_store, holding.boot_id, blocks, 0, age_ms
+                    )
                 )
         return found
 
-    def trim(self, shard_key: bytes, holder: str, removed: Sequence[bytes]) -> None:
-        """Note that a holder has dropped blocks: its run ends before the first."""
+    def trim(
+        self, shard_key: bytes, holder: str, boot_id: str, removed: Sequence[bytes]
+    ) -> None:
+        """Note that a holder has dropped blocks: runs end before the first of them.
+
+        :param boot_id: the boot that dropped them; another boot's blocks stay.
+        """
         held = self._shards.get(shard_key, {})
-        run = held.get(holder)
-        if run is None:
+        holding = held.get(holder)
+        if holding is None or holding.boot_id != boot_id:
             return
-        gone = set(removed)
-        for index, block in enumerate(run.blocks):
-            if block in gone:
-                run.blocks = run.blocks[:index]
-                break
-        if not run.blocks:
+        for block in removed:
+            holding.blocks.pop(block, None)
+        if not holding.blocks:
             del held[holder]
+        if not held:
+            del self._shards[shard_key]
+
+    def forget_holder(self, holder: str, boot_id: str) -> None:
+        """Drop all that one boot of a holder was known to have."""
+        for shard_key, held in list(self._shards.items()):
+            holding = held.get(holder)
+            if holding is not None and holding.boot_id == boot_id:
+                del held[holder]
+                if not held:
+                    del self._shards[shard_key]
+
+    def _record_run(
+        self, held: dict[str, _Holding], run: PrefixRun, seen_at: float
+    ) -> None:
+        known = held.get(run.holder)
+        replaces = known is not None and (
+            not run.blocks or known.boot_id != run.boot_id
+        )
+        if replaces and known.seen_at > seen_at:
+            self.metrics.count("prefix_runs_ignored_total", reason="older")
+            return
+        if not run.blocks:
+            held.pop(run.holder, None)
+            return
+        if known is None or known.boot_id != run.boot_id:
+            known = held[run.holder] = _Holding(run.boot_id, run.is_store, seen_at)
+        known.seen_at = max(known.seen_at, seen_at)
+        # The leading blocks go last, so that a chain is forgotten from its end.
+        for block in reversed(run.blocks):
+            known.blocks[block] = max(seen_at, known.blocks.get(block, seen_at))
+            known.blocks.move_to_end(block)
+        while len(known.blocks) > self.max_blocks:
+            known.blocks.popitem(last=False)
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -200,6 +200,21 @@
     runs: list[PrefixRun]
 
 
+@dataclass(frozen=True)
+class DropBlocks(Message):
+    """Reports to an owner that a holder has dropped blocks.
+
+    :param boot_id: the boot of the holder that dropped them.
+    :param blocks: none means that this boot has dropped everything, in all shards.
+    """
+
+    kind: ClassVar[str] = "drop_blocks"
+    shard_key: bytes
+    holder: str
+    boot_id: str
+    blocks: list[bytes]
+
+
 @dataclass(frozen=True)
 class ReportCrash(Message):
     """Reports that a request was in flight when an upstream crashed."""
@@ -334,6 +349,7 @@
         Locate,
         LocateReply,
         RecordRuns,
+        DropBlocks,
         ReportCrash,
         ClearSuspect,
         RecordAttempt,
--- a/standins/enginecache.py
+++ b/standins/enginecache.py
@@ -156,6 +156,10 @@
                     break
                 self._entries[key] = _Entry(content, root)
                 added.append(block)
+            elif root in contents:
+                # An import names its first block as the root; a prompt that uses the
+                # block afterwards names the real one.
+                self._entries[key].root = root
             stored.append(block)
         for block in reversed(stored):
             self._entries.move_to_end((salt, block))
