Wait 100 ms for the owners' hints

Each lost answer costs the reuse of a whole prompt. Change: LOCATE_TIMEOUT_S is 0.1. The first answer still ends the wait, and an unreachable owner fails at once by back-off.

--- a/packages/apricotlift-node/src/apricotlift/node/placement.py
+++ b/packages/apricotlift-node/src/apricotlift/node/placement.py
@@ -30,7 +30,10 @@
 from apricotlift.upstreams.pool import Pool
 from apricotlift.wire.messages import Locate, LocateReply, PrefixRun
 
-LOCATE_TIMEOUT_S = 0.02
+#: Without an answer in time the whole prompt may be recomputed, which takes about a
+#: second for 9,000 tokens. With 20 ms, half of the answers came too late on a busy
+#: machine.
+LOCATE_TIMEOUT_S = 0.1
 BYTES_PER_TOKEN = 4
 MAX_CONCURRENT_HEADS = 8
 _MIN_IMPORT_TIMEOUT_S = 0.25
