--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,7 @@
     Stream,
     build_answer,
     count_tokens,
+    hash_prompt,
 )
 from standins.enginecache import EventLog, PrefixCache
 from standins.enginefaults import Faults
@@ -30,6 +31,7 @@
 from standins.engineorders import Weights, WeightStore
 from standins.http import Reply, Request, Streaming, bind, build_app, build_json_reply
 from standins.http import serve as serve_http
+from standins.journal import Journal
 
 __all__ = ["build_answer"]
 
@@ -51,13 +53,14 @@
     retention_s: float
     initial_faults: Faults
     settings: BatchSettings
+    journal: Journal
     boot_id: str = field(default_factory=lambda: uuid.uuid4().hex)
     streams: dict[str, Stream] = field(default_factory=dict)
     ran: list[dict] = field(default_factory=list)
     load_report: dict = field(default_factory=dict)
 
     def __post_init__(self):
-        self.batch = Batch(self.settings, self.cache, self.get_speeds)
+        self.batch = Batch(self.settings, self.cache, self.get_speeds, self.journal)
         self.switch_faults({})
 
     def get_speeds(self) -> tuple[float, float]:
@@ -219,10 +222,17 @@
         "cached": [],
     }
     engine.ran.append(truth)
+    head = hash_prompt(data["prompt"])
+    engine.journal.write("ran", boot_id=engine.boot_id, prompt=head, **truth)
     crashes = bool(faults.crash_marker) and faults.crash_marker in data["prompt"]
     if crashes and not faults.crash_after_tokens:
+        engine.journal.write("crashed", prompt=head)
         os._exit(CRASH_EXIT_CODE)
-    version = "other" if faults.wrong_version else engine.weights.slots[slot]
+    version = engine.weights.slots[slot]
+    if faults.wrong_version:
+        # Other weights give another answer.
+        version = "other"
+        data["seed"] = data.get("seed", 0) + 1
     continued = data.get("continue_text", "")
     stream = Stream(attempt_id, slot, version, data["prompt"], continued)
     engine.streams[attempt_id] = stream
@@ -375,6 +385,7 @@
     role: str = "mixed",
     retention_s: float = 600.0,
     crash_marker: str = "",
+    journal: str = "",
     seed: int = 0,
 ) -> None:
     """Run a stand-in engine.
@@ -396,6 +407,8 @@
     :param role: mixed, prefill or decode
     :param retention_s: how long a finished stream is kept
     :param crash_marker: the process exits on a prompt that contains this text
+    :param journal: file to which the ground truth is appended, for checks that
+        outlive the process
     :param seed: of the delays of cache events
     """
     logs.configure(name)
@@ -427,6 +440,7 @@
                 retention_s,
                 Faults(crash_marker=crash_marker),
                 settings,
+                Journal(journal),
             )
 
             async def answer(request: Request, out: Streaming):
--- a/standins/enginebatch.py
+++ b/standins/enginebatch.py
@@ -14,6 +14,7 @@
 from apricotlift.core import clocks
 
 from standins.enginecache import Content, PrefixCache
+from standins.journal import Journal
 
 _WORDS = ("wax", "fold", "chain", "sheet", "dust", "map", "rain", "north", "link")
 
@@ -23,12 +24,17 @@
 CRASH_EXIT_CODE = 70
 
 
+def hash_prompt(prompt: str) -> str:
+    """Return the digest of a prompt that its answer begins with."""
+    return hashlib.sha256(prompt.encode()).hexdigest()[:12]
+
+
 def build_answer(prompt: str, seed: int, n_tokens: int) -> list[str]:
     """Return the tokens of the answer to a prompt.
 
     The first token carries a digest of the prompt, so that a crossed answer shows.
     """
-    head = hashlib.sha256(prompt.encode()).hexdigest()[:12]
+    head = hash_prompt(prompt)
     source = random.Random(f"{head}.{seed}")
     tokens = [f"[{head}]"]
     tokens += [f" {source.choice(_WORDS)}" for _ in range(n_tokens - 1)]
@@ -131,12 +137,14 @@
         settings: BatchSettings,
         cache: PrefixCache,
         get_speeds: Callable[[], tuple[float, float]],
+        journal: Journal,
     ):
         self.settings = settings
         self.waiting: list[Job] = []
         self.running: list[Job] = []
         self._cache = cache
         self._get_speeds = get_speeds
+        self._journal = journal
         self._n_jobs = 0
         self._changed = anyio.Event()
 
@@ -228,6 +236,9 @@
             }
             for block, content in used
         ]
+        if found:
+            name = job.stream.attempt_id
+            self._journal.write("cached", attempt_id=name, cached=job.truth["cached"])
 
     def _admit(self, job: Job) -> None:
         self.waiting.remove(job)
@@ -243,6 +254,7 @@
         if job not in self.running:
             return
         if 0 <= job.crash_after <= job.stream.n_tokens:
+            self._journal.write("crashed", prompt=hash_prompt(job.stream.prompt))
             os._exit(CRASH_EXIT_CODE)
         if job.tokens:
             job.stream.append(job.tokens.pop(0))
--- /dev/null
+++ b/standins/journal.py
@@ -0,0 +1,28 @@
+"""Ground truth of a stand-in that survives the end of its process."""
+
+import json
+import os
+from pathlib import Path
+
+
+class Journal:
+    """Appends JSON lines to a file; an empty path writes nothing."""
+
+    def __init__(self, path: str):
+        self._file = None
+        if path:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._file = os.open(path, flags, 0o600)
+
+    def write(self, kind: str, **fields: object) -> None:
+        """Append one line; it is in the file when this returns."""
+        if self._file is not None:
+            line = json.dumps({"kind": kind, **fields})
+            os.write(self._file, line.encode() + b"\n")
+
+
+def read_journal(path: Path) -> list[dict]:
+    """Return the lines of a journal, none where the file is missing."""
+    if not path.exists():
+        return []
+    return [json.loads(line) for line in path.read_text().splitlines()]
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -71,13 +71,7 @@
     def cut(self) -> None:
         """Reset both sides."""
         for stream in (self.client, self.target):
-            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            with suppress(OSError):
-                # Lingering for zero seconds makes close send RST.
-                option = struct.pack("ii", 1, 0)
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-            # The stream's own close sends FIN first, which looks like a clean end.
-            stream._transport.abort()
+            _reset(stream)
         self.scope.cancel()
 
     async def half_close(self, direction: str) -> None:
@@ -145,6 +139,8 @@
             try:
                 target = await anyio.connect_tcp(host, int(port))
             except OSError:
+                # The nearest to a refusal that an accepted connection allows.
+                _reset(client)
                 return
             async with target:
                 async with anyio.create_task_group() as tasks:
@@ -217,6 +213,16 @@
         await anyio.sleep(self.free_at[direction] - now)
 
 
+def _reset(stream: anyio.abc.SocketStream) -> None:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    with suppress(OSError):
+        # Lingering for zero seconds makes close send RST.
+        option = struct.pack("ii", 1, 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    # The stream's own close sends FIN first, which looks like a clean end.
+    stream._transport.abort()
+
+
 async def control(listeners: dict[str, Listener], request: Request) -> Reply:
     """Answer a request on the control port."""
     if request.path == "/listeners":
