Keep refusal codes, failed fetches and crashes apart in the prompt path

Change: raise after the task group; report failed fetches to the store's tracker and count failed look-ups; carry whether any attempt may have run; take the boot id from the probes at the start of each attempt, and check a lost health connection again.

--- a/packages/apricotlift-node/src/apricotlift/node/attempts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/attempts.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from apricotlift.core import clocks, logs
@@ -32,6 +32,8 @@
 )
 
 MAX_RESUMES = 3
+N_HEALTH_CHECKS = 3
+_HEALTH_PAUSE_S = 0.05
 
 #: Failures after which another engine may do better.
 _RETRYABLE = (
@@ -85,13 +87,18 @@
 
 @dataclass
 class _Run:
-    """What one prompt's attempts share."""
+    """What one prompt's attempts share.
+
+    :param may_have_run: an attempt reached an engine, so a refusal of a later one
+        doesn't mean that the prompt did not run.
+    """
 
     call: PromptCall
     stream: StreamState
     located: Located = field(default_factory=Located)
     tried: set[str] = field(default_factory=set)
     n_attempts: int = 0
+    may_have_run: bool = False
 
 
 def build_request_key(account: str, request_id: str) -> str:
@@ -154,8 +161,18 @@
 
 
 async def _run_attempts(node: Node, run: _Run, kept: KeptAttempt | None) -> None:
+    try:
+        await _run_until_whole(node, run, kept)
+    except ApricotliftError as error:
+        if error.ran is Ran.NO and run.may_have_run:
+            raise replace(error, ran=Ran.MAYBE) from error
+        raise
+
+
+async def _run_until_whole(node: Node, run: _Run, kept: KeptAttempt | None) -> None:
     number = 0
     if kept is not None:
+        run.may_have_run = True
         number = kept.number
         run.tried.add(kept.upstream.name)
         if await _follow_kept(node, run, kept):
@@ -172,6 +189,7 @@
             await _run_attempt(node, run, attempt_id)
             return
         except ApricotliftError as error:
+            run.may_have_run |= error.ran is not Ran.NO
             if error.code not in _RETRYABLE:
                 raise
             _log_failure(call, attempt_id, run.stream.upstream, error)
@@ -259,6 +277,8 @@
     stream.attempt_id = attempt_id
     stream.upstream = upstream.name
     state = node.probes.get_state(upstream.name)
+    # An engine that crashes before its headers has told no boot id in this attempt.
+    stream.boot_id = state.boot_id
     ticket = state.breaker.begin(clocks.monotonic())
     if ticket is None:
         message = f"the breaker of {upstream.name} is open"
@@ -324,6 +344,9 @@
             return
         except ApricotliftError as error:
             if error.code not in RESUMABLE or n_resumes >= MAX_RESUMES:
+                if n_resumes and error.ran is Ran.NO:
+                    # Only the resume was refused; the attempt itself had begun.
+                    raise replace(error, ran=Ran.MAYBE) from error
                 raise
             n_resumes += 1
             node.metrics.count("retries_total", reason=error.code, kind="resume")
@@ -363,18 +386,9 @@
 ) -> None:
     """Find out whether the engine crashed, and report the request if it did."""
     boot_id = run.stream.boot_id
-    if error.code in _HEALTHY or error.ran is Ran.NO and not boot_id:
+    if error.code in _HEALTHY or error.ran is Ran.NO or not boot_id:
         return
-    engine = node.get_engine(upstream)
-    try:
-        health = await engine.get_health()
-    except ApricotliftError as failure:
-        # A silent engine may be paused; only a refused connection shows a crash.
-        crashed = failure.code is Code.UPSTREAM_CONNECT
-        node.probes.get_state(upstream.name).is_reachable = not crashed
-    else:
-        crashed = health.boot_id != boot_id
-    if not crashed or not boot_id:
+    if not await _has_crashed(node, upstream, boot_id):
         return
     prefix = run.call.prefix
     node.metrics.count("upstream_crashes_total", upstream=upstream.name)
@@ -384,6 +398,26 @@
     await node.cluster.tell_owners(prefix.shard_key, message)
 
 
+async def _has_crashed(node: Node, upstream: Upstream, boot_id: str) -> bool:
+    """Return whether the engine process of a boot id is gone."""
+    engine = node.get_engine(upstream)
+    for _ in range(N_HEALTH_CHECKS):
+        try:
+            health = await engine.get_health()
+        except ApricotliftError as failure:
+            if failure.code is Code.STREAM_BROKEN:
+                # A kept connection may have been lost with the stream's; only a new
+                # one that breaks too shows that nobody answers.
+                await anyio.sleep(_HEALTH_PAUSE_S)
+                continue
+            # A silent engine may be paused; a refused connection shows a crash.
+            is_refused = failure.code is Code.UPSTREAM_CONNECT
+            node.probes.get_state(upstream.name).is_reachable = not is_refused
+            return is_refused
+        return health.boot_id != boot_id
+    return True
+
+
 async def _record_attempt(
     node: Node, call: PromptCall, attempt_id: str, upstream: Upstream
 ) -> None:
--- a/packages/apricotlift-node/src/apricotlift/node/placement.py
+++ b/packages/apricotlift-node/src/apricotlift/node/placement.py
@@ -187,8 +187,14 @@
             self.metrics.count("fetches_failed_total", reason=code)
             logs.log(logs.WARNING, "fetch_failed", store=store.name, code=code)
         now = clocks.monotonic()
-        actual_s = now - started if n_imported == len(names) else None
-        accuracy.finish(ticket, plan.estimated_fetch_s, actual_s, now, self.random)
+        accuracy.finish(
+            ticket,
+            plan.estimated_fetch_s,
+            now - started,
+            now,
+            self.random,
+            failed=n_imported < len(names),
+        )
         self.metrics.count("fetched_blocks_total", n_imported)
         return n_imported
 
@@ -235,7 +241,11 @@
 
         async def look(name: str) -> None:
             async with limiter:
-                found[name] = await client.head(name)
+                try:
+                    found[name] = await client.head(name)
+                except ApricotliftError as error:
+                    # Raised out of the task group it would end the whole prompt.
+                    self.metrics.count("fetch_blocks_failed_total", reason=error.code)
 
         async with anyio.create_task_group() as tasks:
             for name in names:
--- a/packages/apricotlift-node/src/apricotlift/node/prompts.py
+++ b/packages/apricotlift-node/src/apricotlift/node/prompts.py
@@ -345,27 +345,36 @@
     send: Send,
 ) -> None:
     started = clocks.monotonic()
+    is_refused = False
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_cancel_on_disconnect, request, tasks.cancel_scope)
         await stream.wait_started()
-        if stream.error is not None and not stream.n_characters:
-            tasks.cancel_scope.cancel()
-            raise stream.error
-        node.metrics.observe("first_token_seconds", clocks.monotonic() - started)
-        headers = {
-            "content-type": "text/event-stream",
-            "cache-control": "no-store",
-            "x-request-id": form.stream_id,
-            "x-attempt-id": stream.attempt_id,
-        }
-        await send_start(send, 200, headers)
-        async for pieces in stream.read(offset):
-            text = "".join(piece.text for piece in pieces)
-            event_id = f"{form.stream_id}:{pieces[-1].end}"
-            data = format_event(form.render_chunk(text), event_id=event_id)
-            await send({"type": "http.response.body", "body": data, "more_body": True})
-        await send({"type": "http.response.body", "body": _render_end(stream, form)})
+        is_refused = stream.error is not None and not stream.n_characters
+        if not is_refused:
+            node.metrics.observe("first_token_seconds", clocks.monotonic() - started)
+            await _write_events(stream, form, offset, send)
         tasks.cancel_scope.cancel()
+    # A task group would wrap the error into an exception group.
+    if is_refused:
+        raise stream.error
+
+
+async def _write_events(
+    stream: StreamState, form: _Form, offset: int, send: Send
+) -> None:
+    headers = {
+        "content-type": "text/event-stream",
+        "cache-control": "no-store",
+        "x-request-id": form.stream_id,
+        "x-attempt-id": stream.attempt_id,
+    }
+    await send_start(send, 200, headers)
+    async for pieces in stream.read(offset):
+        text = "".join(piece.text for piece in pieces)
+        event_id = f"{form.stream_id}:{pieces[-1].end}"
+        data = format_event(form.render_chunk(text), event_id=event_id)
+        await send({"type": "http.response.body", "body": data, "more_body": True})
+    await send({"type": "http.response.body", "body": _render_end(stream, form)})
 
 
 def _render_end(stream: StreamState, form: _Form) -> bytes:
@@ -380,16 +389,21 @@
 async def _send_whole(
     node: Node, stream: StreamState, form: _Form, request: HttpRequest, send: Send
 ) -> None:
+    is_failed = False
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_cancel_on_disconnect, request, tasks.cancel_scope)
         async for _ in stream.read():
             pass
-        if stream.error is not None:
-            tasks.cancel_scope.cancel()
-            raise stream.error
-        headers = {"x-request-id": form.stream_id, "x-attempt-id": stream.attempt_id}
-        await send_json(send, 200, form.build_whole(stream), headers)
+        is_failed = stream.error is not None
+        if not is_failed:
+            headers = {
+                "x-request-id": form.stream_id,
+                "x-attempt-id": stream.attempt_id,
+            }
+            await send_json(send, 200, form.build_whole(stream), headers)
         tasks.cancel_scope.cancel()
+    if is_failed:
+        raise stream.error
 
 
 async def _cancel_on_disconnect(request: HttpRequest, scope: anyio.CancelScope) -> None:
