--- a/packages/apricotlift-node/src/apricotlift/node/placement.py
+++ b/packages/apricotlift-node/src/apricotlift/node/placement.py
@@ -244,7 +244,11 @@
 
         async def look(name: str) -> None:
             async with limiter:
-                found[name] = await client.head(name)
+                try:
+                    found[name] = await client.head(name)
+                except ApricotliftError as error:
+                    # Raised out of the task group it would end the whole prompt.
+                    self.metrics.count("fetch_blocks_failed_total", reason=error.code)
 
         async with anyio.create_task_group() as tasks:
             for name in names:
