Keep httpcore from searching for sniffio on each request

Cause: httpcore imports sniffio whenever it makes a lock, and it isn't installed: each try searched all of sys.path on the event loop. Samples of a node's main thread showed it as the largest single activity outside select; locate queries went unanswered for 100 ms although the machine's sleeps overshot by at most 36 ms. Change: an absent sniffio is entered as None, so the import fails at once.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
@@ -5,7 +5,9 @@
 the work certainly did not run.
 """
 
+import importlib.util
 import ssl
+import sys
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -13,6 +15,11 @@
 import httpcore
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 
+# httpcore tries to import sniffio several times a request. Where it isn't installed,
+# each try searches all of sys.path; an entry of None makes it fail at once.
+if importlib.util.find_spec("sniffio") is None:
+    sys.modules["sniffio"] = None
+
 MAX_CONNECTIONS = 1000
 KEEPALIVE_S = 15.0
 
