Survive an unavailable store and wait for fetches by their worth

Fetches ended at twice the estimate although recomputing costs the cooperative about 10 s a block by its weights. uncached_share was never learned. Change: the first error is raised bare; the import timeout is up to five times the estimate while the weights prefer the wait; responses teach uncached_share.

--- a/packages/apricotlift-node/src/apricotlift/node/placement.py
+++ b/packages/apricotlift-node/src/apricotlift/node/placement.py
@@ -36,6 +36,7 @@
 LOCATE_TIMEOUT_S = 0.1
 BYTES_PER_TOKEN = 4
 MAX_CONCURRENT_HEADS = 8
+MAX_IMPORT_FACTOR = 5.0
 _MIN_IMPORT_TIMEOUT_S = 0.25
 
 
@@ -171,7 +172,7 @@
         first = plan.n_reused_blocks
         names = prefix.block_names[first : first + plan.n_fetched_blocks]
         n_bytes = len(names) * build_routing_settings(declarations.fleet).chunk_bytes
-        timeout_s = max(_MIN_IMPORT_TIMEOUT_S, 2 * plan.estimated_fetch_s)
+        timeout_s = _compute_import_timeout_s(plan, declarations)
         started = clocks.monotonic()
         n_imported = 0
         try:
@@ -209,6 +210,7 @@
         self.metrics.count("prompt_tokens_total", usage.prompt_tokens)
         self.metrics.count("cached_tokens_total", n_cached)
         state = self.probes.get_state(plan.upstream)
+        state.learn_uncached(usage.prompt_tokens, n_cached)
         if not plan.n_fetched_blocks and plan.n_reused_blocks:
             share = plan.n_reused_blocks * usage.prompt_tokens
             n_blocks = max(1, plan.record.n_blocks)
@@ -242,13 +244,22 @@
         found: dict[str, StoredBlock | None] = {}
         limiter = anyio.CapacityLimiter(MAX_CONCURRENT_HEADS)
 
+        errors: list[ApricotliftError] = []
+
         async def look(name: str) -> None:
             async with limiter:
-                found[name] = await client.head(name)
+                try:
+                    found[name] = await client.head(name)
+                except ApricotliftError as error:
+                    # Raised below, because a task group would wrap it in a group.
+                    errors.append(error)
+                    tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
             for name in names:
                 tasks.start_soon(look, name)
+        if errors:
+            raise errors[0]
         blocks = []
         for name in names:
             block = found.get(name)
@@ -324,6 +335,23 @@
         return max(0, n_others) * own
 
 
+def _compute_import_timeout_s(plan: Plan, declarations: Declarations) -> float:
+    """Return how long a fetch may take.
+
+    At least twice the estimate, and up to :data:`MAX_IMPORT_FACTOR` times as long
+    while the weights still prefer the wait to computing the blocks: a fetch that is
+    given up has cost its link bytes and its time, and the blocks are computed too.
+    """
+    settings = build_routing_settings(declarations.fleet)
+    rate = declarations.upstreams[plan.upstream].prefill_tokens_per_s
+    n_tokens = plan.n_fetched_blocks * settings.chunk_tokens
+    worth_s = n_tokens / rate
+    if settings.w_ttft > 0:
+        worth_s += n_tokens * settings.w_recompute / settings.w_ttft
+    longest_s = min(worth_s, MAX_IMPORT_FACTOR * plan.estimated_fetch_s)
+    return max(_MIN_IMPORT_TIMEOUT_S, 2 * plan.estimated_fetch_s, longest_s)
+
+
 def build_routing_settings(fleet: Fleet) -> RoutingSettings:
     """Return the routing settings of a deployment."""
     chunk_tokens = fleet.piece_bytes // BYTES_PER_TOKEN
--- a/packages/apricotlift-node/src/apricotlift/node/probes.py
+++ b/packages/apricotlift-node/src/apricotlift/node/probes.py
@@ -48,6 +48,7 @@
     :param is_listed_leaving: the platform's live list says so.
     :param load_at: when the present load report was first seen.
     :param p_cached: learned share of hints that proved true.
+    :param uncached_share: learned share of prompt tokens that it has to compute.
     """
 
     name: str
@@ -85,6 +86,13 @@
         known = 1.0 if self.p_cached is None else self.p_cached
         self.p_cached = known + _LEARNING_RATE * (share - known)
 
+    def learn_uncached(self, n_prompt_tokens: int, n_cached: int) -> None:
+        """Note which share of a prompt the engine had to compute."""
+        if n_prompt_tokens <= 0:
+            return
+        share = 1.0 - min(1.0, n_cached / n_prompt_tokens)
+        self.uncached_share += _LEARNING_RATE * (share - self.uncached_share)
+
     def see_boot(self, boot_id: str) -> bool:
         """Note a boot id; return whether the process is a new one."""
         if not boot_id or boot_id == self.boot_id:
