Export sooner, a few conversations at a time, by the routing weights

Change: four concurrent jobs, a wait of at most 0.2 s for a busy engine, 2 blocks an order, and w_link / (w_ttft + w_recompute * rate) as the least value of first and second copies.

--- a/packages/apricotlift-node/src/apricotlift/node/exports.py
+++ b/packages/apricotlift-node/src/apricotlift/node/exports.py
@@ -38,11 +38,16 @@
 MAX_REMEMBERED = 20_000
 MAX_HELD_BLOCKS = 50_000
 EXPORT_TIMEOUT_S = 30.0
-#: Blocks that leave in one order; a long one would hold the link against callers.
-MAX_BLOCKS_PER_EXPORT = 8
+#: Blocks that leave in one order. A link carries what was started before it carries a
+#: caller's fetch, and every node may have one order on it.
+MAX_BLOCKS_PER_EXPORT = 2
 #: Engines with longer queues need their time for prompts.
 BUSY_QUEUE_S = 0.5
-_BUSY_PAUSE_S = 0.2
+#: An export that waits longer for a busy engine finds its blocks evicted.
+MAX_BUSY_WAIT_S = 0.2
+_BUSY_PAUSE_S = 0.1
+#: Conversations that are exported at the same time; the links limit their bytes.
+MAX_CONCURRENT_EXPORTS = 4
 
 
 @dataclass(frozen=True)
@@ -103,27 +108,42 @@
         self._changed.set()
 
     async def run(self, get_declarations, get_engine) -> None:
-        """Export queued conversations for ever, one after the other."""
-        while True:
-            while not self._queue:
-                await self._changed.wait()
-                self._changed = anyio.Event()
-            _, job = self._queue.popitem(last=False)
-            declarations = get_declarations()
-            if declarations is None or not declarations.stores:
-                continue
-            try:
-                await self._export(job, declarations, get_engine(job.upstream))
-            except ApricotliftError as error:
-                self.metrics.count("exports_failed_total", reason=error.code)
-                logs.log(
-                    logs.WARNING,
-                    "export_failed",
-                    upstream=job.upstream.name,
-                    code=error.code,
-                    message=error.message,
+        """Export queued conversations for ever, a few at a time.
+
+        One conversation that waits for its engine or link doesn't hold up those of
+        other engines.
+        """
+        limiter = anyio.Semaphore(MAX_CONCURRENT_EXPORTS)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await limiter.acquire()
+                while not self._queue:
+                    await self._changed.wait()
+                    self._changed = anyio.Event()
+                _, job = self._queue.popitem(last=False)
+                tasks.start_soon(
+                    self._run_job, job, limiter, get_declarations, get_engine
                 )
 
+    async def _run_job(
+        self, job: ExportJob, limiter: anyio.Semaphore, get_declarations, get_engine
+    ) -> None:
+        declarations = get_declarations()
+        try:
+            if declarations is not None and declarations.stores:
+                await self._export(job, declarations, get_engine(job.upstream))
+        except ApricotliftError as error:
+            self.metrics.count("exports_failed_total", reason=error.code)
+            logs.log(
+                logs.WARNING,
+                "export_failed",
+                upstream=job.upstream.name,
+                code=error.code,
+                message=error.message,
+            )
+        finally:
+            limiter.release()
+
     async def _export(
         self, job: ExportJob, declarations: Declarations, engine: EngineClient
     ) -> None:
@@ -132,9 +152,7 @@
             self._build_blocks(job, declarations),
             self._build_spaces(declarations),
             self.returns,
-            replace(
-                self.settings, n_copies_max=declarations.fleet.max_retained_kv_copies
-            ),
+            self._build_settings(job.upstream, declarations),
         )
         by_store: dict[str, list[Export]] = {}
         for export in exports:
@@ -222,7 +240,8 @@
             self.metrics.count("store_drops_total")
 
     async def _wait_until_idle(self, upstream: Upstream) -> None:
-        while True:
+        deadline = clocks.monotonic() + MAX_BUSY_WAIT_S
+        while clocks.monotonic() < deadline:
             load = self.probes.get_state(upstream.name).load
             queue_s = 0.0
             if load is not None:
@@ -232,6 +251,23 @@
             self.metrics.count("exports_delayed_total", reason="engine_busy")
             await anyio.sleep(_BUSY_PAUSE_S)
 
+    def _build_settings(
+        self, upstream: Upstream, declarations: Declarations
+    ) -> RetentionSettings:
+        """Return the settings with the value from which a copy is worth its bytes.
+
+        It follows from the deployment's weights, so that copies and fetches are
+        judged by the same costs.
+        """
+        fleet = declarations.fleet
+        cost_per_s = fleet.w_ttft + fleet.w_recompute * upstream.prefill_tokens_per_s
+        min_saved = fleet.w_link / cost_per_s if cost_per_s > 0 else float("inf")
+        return replace(
+            self.settings,
+            n_copies_max=fleet.max_retained_kv_copies,
+            min_saved_s_per_byte=min_saved,
+        )
+
     def _build_blocks(self, job: ExportJob, declarations: Declarations) -> list[Block]:
         settings = build_routing_settings(declarations.fleet)
         rebuild_s = settings.chunk_tokens / job.upstream.prefill_tokens_per_s
--- a/packages/apricotlift-policy/src/apricotlift/policy/retention.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/retention.py
@@ -233,10 +233,12 @@
         second_bytes -= block.size_bytes
         if second_bytes < 0:
             break
+        value = values[block.block_id] * settings.second_copy_factor
+        if value < settings.min_saved_s_per_byte:
+            continue
         if len(held[block.block_id]) == 1:
             store = room.take(block, held[block.block_id])
             if store is not None:
-                value = values[block.block_id] * settings.second_copy_factor
                 exports.append(Export(block, store, value))
     return exports
 
