--- a/packages/apricotlift-state/src/apricotlift/state/acceptance.py
+++ b/packages/apricotlift-state/src/apricotlift/state/acceptance.py
@@ -113,9 +113,10 @@
                 WaitingMember(row.sk, domain, confirmed, unrenewed_s, reason)
             )
         self._watches = watches
-        accepted = not waiting and self._has_lasting_majority(
+        has_majority = self._has_lasting_majority(
             n_confirmed, len(rows), bool(expired), started_at, ended_at
         )
+        accepted = has_majority and not waiting
         problem = "" if rows else "no instance holds a lease yet"
         return Acceptance(
             self._version,
