--- a/packages/apricotlift-node/src/apricotlift/node/border.py
+++ b/packages/apricotlift-node/src/apricotlift/node/border.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Annotated, Literal
@@ -212,8 +213,12 @@
     headers = {}
     if error.retry_after_s is not None:
         headers["retry-after"] = str(max(1, round(error.retry_after_s)))
-    for name, value in error.details.get("ratelimit", {}).items():
-        headers[f"x-ratelimit-{name}"] = str(value)
+    if "limit" in error.details:
+        headers["x-ratelimit-limit"] = str(error.details["limit"])
+        headers["x-ratelimit-remaining"] = str(error.details.get("remaining", 0))
+        headers["x-ratelimit-scope"] = str(error.scope)
+    if "reset_s" in error.details:
+        headers["x-ratelimit-reset"] = str(math.ceil(error.details["reset_s"]))
     if request_id is not None:
         headers["x-request-id"] = request_id
     status = STATUS_BY_CODE.get(error.code, _UNAVAILABLE)
