Hold answers in fewer pieces and test the border with bad input

Cause: a held answer of 475 tokens took 51 kB, because each token was a piece; at the planned 11 requests/s and 600 s of retention that is 340 MB a node. The border had no tests of its own.

--- /dev/null
+++ b/features/border.feature
@@ -0,0 +1,28 @@
+Feature: Bad input at the border
+  Guards against a bad request that gets anything but a refusal with its code, that
+  runs anything, or that disturbs other requests.
+
+  Scenario: Each bad request is refused by name and others go on
+    Given accounts "fes" that may use model "wax"
+    And engines "e1"
+    And engine "e1" sends a token each 0.2 s
+    And a node "n1" with a body limit of 2000 bytes and 1 s
+    When account "fes" streams prompt "A long answer" from "n1" meanwhile
+    Then these requests to "n1" are refused with
+      | request                 | status | code                  |
+      | broken JSON             | 400    | bad_request           |
+      | invalid UTF-8           | 400    | bad_request           |
+      | deeply nested JSON      | 400    | bad_request           |
+      | a number as prompt      | 400    | bad_request           |
+      | an oversize body        | 413    | body_too_large        |
+      | an unknown model        | 404    | unknown_model         |
+      | too many headers        | 431    | headers_too_large     |
+      | a body that never comes | 408    | slow_sender           |
+      | an unknown priority     | 400    | bad_request           |
+      | a bad deadline          | 400    | bad_request           |
+      | a foreign event id      | 400    | bad_request           |
+      | an unknown path         | 404    | not_found             |
+      | the wrong method        | 405    | method_not_allowed    |
+      | no key                  | 401    | unauthenticated       |
+    And the streamed answer is whole
+    And engine "e1" ran 1 attempt
--- a/packages/apricotlift-node/src/apricotlift/node/settings.py
+++ b/packages/apricotlift-node/src/apricotlift/node/settings.py
@@ -112,7 +112,7 @@
 class StreamsModel(BaseModel):
     """``[streams]``."""
 
-    retention_s: Seconds = 600.0
+    retention_s: Seconds = 120.0
     first_token_timeout_s: Seconds = 120.0
     token_timeout_s: Seconds = 10.0
 
--- a/packages/apricotlift-node/src/apricotlift/node/streams.py
+++ b/packages/apricotlift-node/src/apricotlift/node/streams.py
@@ -14,6 +14,9 @@
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.upstreams.engine import Usage
 
+#: Pieces of one answer that are kept apart.
+MAX_PIECES = 64
+
 
 @dataclass(frozen=True)
 class Piece:
@@ -77,6 +80,8 @@
             raise RuntimeError("text after the end of an answer")
         self._texts.append(text)
         self._ends.append(self.n_characters + len(text))
+        if len(self._texts) >= MAX_PIECES:
+            self._join()
         self._started.set()
         self._wake()
 
@@ -100,28 +105,36 @@
 
         :param offset: in characters; text before it is left out.
         """
-        index = bisect_right(self._ends, offset)
         position = offset
         while True:
             changed = self._changed
+            # Found anew each time, because pieces are joined meanwhile.
+            index = bisect_right(self._ends, position)
             if index < len(self._texts):
                 pieces = []
-                while index < len(self._texts):
-                    start = self._ends[index] - len(self._texts[index])
-                    text = self._texts[index][max(0, position - start) :]
-                    position = self._ends[index]
-                    pieces.append(Piece(text, position))
-                    index += 1
+                for text, end in zip(
+                    self._texts[index:], self._ends[index:], strict=True
+                ):
+                    start = end - len(text)
+                    pieces.append(Piece(text[max(0, position - start) :], end))
+                    position = end
                 yield pieces
                 continue
             if self.is_finished:
                 return
             await changed.wait()
 
+    def _join(self) -> None:
+        """Join the pieces; one that stands alone costs about 100 bytes a token."""
+        self._texts = ["".join(self._texts)]
+        self._ends = self._ends[-1:]
+
     def _end(self) -> None:
         if self.is_finished:
             raise RuntimeError("an answer ends once")
         self.finished_at = clocks.monotonic()
+        if self._texts:
+            self._join()
         self._started.set()
         self._wake()
 
