--- a/features/steps/prompt_steps.py
+++ b/features/steps/prompt_steps.py
@@ -6,32 +6,22 @@
 
 from behave import given, then, when
 
+from features.waiting import split_names, wait_until
 from standins.engine import build_answer
 
 N_TOKENS = 20
 
 
-def _split(text):
-    return [part.strip() for part in text.split(",")]
-
-
-def _wait_until(check, timeout_s=30.0):
-    deadline = time.monotonic() + timeout_s
-    while not check():
-        assert time.monotonic() < deadline, "the awaited state did not come"
-        time.sleep(0.02)
-
-
 @given('accounts "{names}" that may use model "{model}"')
 def declare_accounts(context, names, model):
     context.fleet.add_model(model)
-    for name in _split(names):
+    for name in split_names(names):
         context.fleet.add_account(name, model)
 
 
 @given('engines "{names}"')
 def start_engines(context, names):
-    context.engines = _split(names)
+    context.engines = split_names(names)
     for name in context.engines:
         context.fleet.start_engine(name)
 
@@ -93,7 +83,7 @@
                 return name
         return None
 
-    _wait_until(find_running)
+    wait_until(find_running)
     time.sleep(0.5)
     context.processes.running[find_running()].kill()
     sender.join(60)
