--- a/packages/apricotlift-policy/src/apricotlift/policy/estimates.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/estimates.py
@@ -104,6 +104,7 @@
     :param n_suspects: crash suspects that run here.
     :param draining: whether it is leaving.
     :param breaker_open: whether its breaker refuses requests.
+    :param lacks_slot: whether it has not loaded the request's slot.
     """
 
     name: str
@@ -121,6 +122,7 @@
     n_suspects: int = 0
     draining: bool = False
     breaker_open: bool = False
+    lacks_slot: bool = False
 
 
 @dataclass(frozen=True)
