--- a/packages/apricotlift-node/src/apricotlift/node/cluster.py
+++ b/packages/apricotlift-node/src/apricotlift/node/cluster.py
@@ -44,7 +44,9 @@
 )
 
 PEER_TIMEOUT_S = 0.8
+DOCUMENT_PART_BYTES = 131_072
 MAX_ATTEMPT_HINTS = 20_000
+_PUBLISH_RETRY_S = 0.5
 
 
 class Cluster:
@@ -104,6 +106,7 @@
             self.random,
             self._on_applied,
         )
+        self.membership.gossip.on_newer_version = self.follower.notice_version
         self.batcher = Batcher(self.table, metrics)
         self.claims = Claims(
             self.table,
@@ -136,9 +139,8 @@
         await tasks.start(self.batcher.run)
         await tasks.start(self.claims.run)
         await tasks.start(self.suspects.run)
-        tasks.start_soon(self.follower.run)
+        tasks.start_soon(self._follow)
         tasks.start_soon(self._publish_versions)
-        tasks.start_soon(self._notice_versions)
         return self
 
     async def __aexit__(self, *details: object) -> None:
@@ -259,7 +261,13 @@
         return await self._request(address, HeadRequest(), HeadReply)
 
     async def _request_document(self, address: str, digest: str) -> DocumentReply:
-        return await self._request(address, DocumentRequest(digest), DocumentReply)
+        body = b""
+        while True:
+            message = DocumentRequest(digest, len(body))
+            part = await self._request(address, message, DocumentReply)
+            body += part.body
+            if not part.found or not part.body or len(body) >= part.size_bytes:
+                return DocumentReply(part.found, body, len(body))
 
     async def _request(self, address: str, message: Message, kind: type):
         reply = await self.peers.request(address, message, PEER_TIMEOUT_S)
@@ -268,6 +276,13 @@
             raise ApricotliftError(Code.PEER_PROTOCOL, text)
         return reply
 
+    async def _follow(self) -> None:
+        # Acceptance of a change waits for the members in the table. A node that
+        # served before its row is there could be missing among them.
+        while not await self.membership.lease.renew():
+            await anyio.sleep(_PUBLISH_RETRY_S)
+        await self.follower.run()
+
     def _on_applied(self, snapshot: Snapshot) -> None:
         logs.log(logs.INFO, "configuration_in_force", version=snapshot.version)
         self._applied.set()
@@ -282,13 +297,7 @@
                 if await self.membership.publish_version(version):
                     published = version
                 else:
-                    await anyio.sleep(0.5)
-
-    async def _notice_versions(self) -> None:
-        # Gossip may name a newer version before the next poll of the head.
-        while True:
-            await anyio.sleep(0.2)
-            self.follower.notice_version(self.membership.view.newest_version)
+                    await anyio.sleep(_PUBLISH_RETRY_S)
 
     # Handlers
 
@@ -303,7 +312,10 @@
         self, message: DocumentRequest, peer: Identity
     ) -> DocumentReply:
         body = self.follower.get_document(message.digest)
-        return DocumentReply(body is not None, body or b"")
+        if body is None:
+            return DocumentReply(False, b"")
+        part = body[message.offset : message.offset + DOCUMENT_PART_BYTES]
+        return DocumentReply(True, part, len(body))
 
     async def _answer_locate(self, message: Locate, peer: Identity) -> LocateReply:
         runs = self.prefixes.locate(message.shard_key, message.chain)
--- a/packages/apricotlift-state/src/apricotlift/state/acceptance.py
+++ b/packages/apricotlift-state/src/apricotlift/state/acceptance.py
@@ -17,13 +17,16 @@
 from apricotlift.core.clocks import monotonic
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.platform import Row, Table
-
-MEMBER_PK = "member"
+from apricotlift.state.lease import MEMBER_PK
 
 #: Time without a renewal after which a lease counts as expired. Longer than the 8 s
 #: after which a node that is cut off stops serving.
 EXPIRY_WATCH_S = 12.0
 
+#: Longer than the 8 s for which the word of a majority counts at a member that is
+#: cut off.
+MAJORITY_WATCH_S = 10.0
+
 _POLL_S = 0.25
 
 #: Reasons for which a member is waited for.
@@ -79,6 +82,7 @@
     def __init__(self, version: int):
         self._version = version
         self._watches: dict[str, _Watch] = {}
+        self._majority_since: float | None = None
 
     def judge(self, rows: list[Row], started_at: float, ended_at: float) -> Acceptance:
         """Judge by one read of all lease rows.
@@ -109,7 +113,10 @@
                 WaitingMember(row.sk, domain, confirmed, unrenewed_s, reason)
             )
         self._watches = watches
-        accepted = not waiting and 2 * n_confirmed > len(rows)
+        has_majority = self._has_lasting_majority(
+            n_confirmed, len(rows), bool(expired), started_at, ended_at
+        )
+        accepted = has_majority and not waiting
         problem = "" if rows else "no instance holds a lease yet"
         return Acceptance(
             self._version,
@@ -121,6 +128,29 @@
             problem,
         )
 
+    def _has_lasting_majority(
+        self,
+        n_confirmed: int,
+        n_members: int,
+        has_expired: bool,
+        started_at: float,
+        ended_at: float,
+    ) -> bool:
+        """Return whether a majority confirms, and for long enough.
+
+        An expired member may have heard a majority that was still on the old
+        version just before those members confirmed the new one, and may admit work
+        on that for as long as the word of a majority counts.
+        """
+        if 2 * n_confirmed <= n_members:
+            self._majority_since = None
+            return False
+        if self._majority_since is None:
+            self._majority_since = ended_at
+        if not has_expired:
+            return True
+        return started_at - self._majority_since >= MAJORITY_WATCH_S
+
 
 async def wait_for_acceptance(
     table: Table,
