--- a/bench/faultoperators.py
+++ b/bench/faultoperators.py
@@ -94,7 +94,18 @@
         added = replace(known, extra_keys=(*known.extra_keys, key))
         if not await self.change(added, "ana"):
             return
-        run = self.traffic.choose_node(self.source)
+        free = sorted(set(self.world.nodes) - self.world.busy)
+        if not free:
+            return
+        # Another fault there would let the node go on, or end it, too early.
+        run = self.world.nodes[self.source.choice(free)]
+        self.world.busy.add(run.name)
+        try:
+            await self._remove_key(run, key, added)
+        finally:
+            self.world.busy.discard(run.name)
+
+    async def _remove_key(self, run: NodeRun, key: str, added: Configuration) -> None:
         told = await self._probe(run, key)
         self.book.outcomes[f"added key was told {told}"] += 1
         self.world.signal(run, signal.SIGSTOP)
@@ -103,7 +114,7 @@
             if await self.change(replace(added, extra_keys=rest), "tom"):
                 self.book.removed_keys[key] = clocks.monotonic()
                 # A probe must reach the frozen node before it goes on.
-                await anyio.sleep(IN_FORCE_S + 1.5)
+                await anyio.sleep(IN_FORCE_S + 2.0)
                 self.book.faults["key_removed_from_frozen_node"] += 1
         finally:
             if run.process.popen.poll() is None:
--- a/bench/faultplan.py
+++ b/bench/faultplan.py
@@ -32,16 +32,12 @@
 
 @dataclass
 class Plan:
-    """Draws faults and injects them.
-
-    :param busy: targets that a fault holds; no other is injected there.
-    """
+    """Draws faults and injects them."""
 
     world: World
     book: Book
     traffic: Traffic
     source: random.Random
-    busy: set[str] = field(default_factory=set)
     bag: list[str] = field(default_factory=list)
     n_crash_prompts: int = 0
     stopping: bool = False
@@ -68,16 +64,16 @@
 
     def take(self, *names: str) -> str | None:
         """Return a target that no fault holds, and hold it."""
-        free = [name for name in names if name not in self.busy]
+        free = [name for name in names if name not in self.world.busy]
         if not free:
             return None
         name = self.source.choice(free)
-        self.busy.add(name)
+        self.world.busy.add(name)
         return name
 
     def take_node(self) -> NodeRun | None:
         """Hold a node that runs, not more than half of them at once."""
-        held = self.busy.intersection(self.world.node_names)
+        held = self.world.busy.intersection(self.world.node_names)
         if len(held) >= self.world.n_nodes // 2:
             return None
         name = self.take(*self.world.node_names)
@@ -98,7 +94,7 @@
     run.ended = True
     await plan.wait(0.5, 3.0)
     await plan.world.start_node(run.name)
-    plan.busy.discard(run.name)
+    plan.world.busy.discard(run.name)
     return True
 
 
@@ -110,7 +106,7 @@
     plan.world.signal(run, signal.SIGSTOP)
     await plan.wait(low_s, high_s)
     plan.world.signal(run, signal.SIGCONT)
-    plan.busy.discard(run.name)
+    plan.world.busy.discard(run.name)
     return True
 
 
@@ -132,7 +128,7 @@
         plan.book.violate("graceful stops", text)
     run.ended = True
     await plan.world.start_node(run.name)
-    plan.busy.discard(run.name)
+    plan.world.busy.discard(run.name)
     return True
 
 
@@ -143,7 +139,7 @@
     # The watch over engines starts it again.
     plan.world.running[name].kill()
     await plan.wait(1.0, 2.0)
-    plan.busy.discard(name)
+    plan.world.busy.discard(name)
     return True
 
 
@@ -156,7 +152,7 @@
     await plan.wait(1.0, 4.0)
     if process.popen.poll() is None:
         process.send_signal(signal.SIGCONT)
-    plan.busy.discard(name)
+    plan.world.busy.discard(name)
     return True
 
 
@@ -175,7 +171,7 @@
             # A crashing prompt ended the process, and with it the fault.
             return False
         finally:
-            plan.busy.discard(name)
+            plan.world.busy.discard(name)
         return True
 
     return inject
@@ -190,7 +186,7 @@
         await plan.world.set_faults("platform", table=faults)
         await plan.wait(low_s, high_s)
         await plan.world.set_faults("platform", table={})
-        plan.busy.discard("platform")
+        plan.world.busy.discard("platform")
         return True
 
     return inject
@@ -203,7 +199,7 @@
     await plan.world.set_faults("platform", table=down, objects=down)
     await plan.wait(2.0, 5.0)
     await plan.world.set_faults("platform", table={}, objects={})
-    plan.busy.discard("platform")
+    plan.world.busy.discard("platform")
     return True
 
 
@@ -239,7 +235,7 @@
         await plan.world.set_proxy(name, hold_up=True)
     await plan.wait(3.0, 8.0)
     await plan.world.set_proxy(name)
-    plan.busy.discard(run.name)
+    plan.world.busy.discard(run.name)
     return True
 
 
@@ -250,7 +246,7 @@
     plan.world.running[name].kill()
     await plan.wait(0.5, 3.0)
     await plan.world.restart_standin(name)
-    plan.busy.discard(name)
+    plan.world.busy.discard(name)
     return True
 
 
--- a/bench/faultworld.py
+++ b/bench/faultworld.py
@@ -68,7 +68,10 @@
 
 @dataclass
 class World:
-    """All processes of a run and how to reach them."""
+    """All processes of a run and how to reach them.
+
+    :param busy: targets that a fault holds; no other is injected there.
+    """
 
     processes: Processes
     n_nodes: int = 4
@@ -80,6 +83,7 @@
     all_nodes: list[NodeRun] = field(default_factory=list)
     metrics: dict[str, dict[str, float]] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
+    busy: set[str] = field(default_factory=set)
     pool: httpcore.AsyncConnectionPool = field(init=False)
 
     def __post_init__(self):
