Bound the time for which a stop waits for unwritten claims

Change: 10 s, then a log line and a counter; such claims answer may_have_run at other nodes, which is true. The order owner gets the previous declarations as an argument instead of an attribute of the node.

--- a/packages/apricotlift-node/src/apricotlift/node/drain.py
+++ b/packages/apricotlift-node/src/apricotlift/node/drain.py
@@ -12,6 +12,7 @@
 from apricotlift.node.runtime import Node
 
 POLL_S = 0.05
+FLUSH_LIMIT_S = 10.0
 
 
 async def request_drain(node: Node) -> None:
@@ -43,12 +44,25 @@
                 await anyio.sleep(_get_linger_s(node))
                 while is_busy(node):
                     await anyio.sleep(POLL_S)
-                await node.cluster.claims.wait_flushed()
+                await _flush_claims(node)
             tasks.cancel_scope.cancel()
     if is_busy(node):
         log_cut_requests(node)
 
 
+async def _flush_claims(node: Node) -> None:
+    """Wait a limited time for records and releases that are still to be written.
+
+    What isn't written then answers ``may_have_run`` at other nodes, which is true; a
+    table that is out for an hour must not keep a node from ending.
+    """
+    with anyio.move_on_after(FLUSH_LIMIT_S) as scope:
+        await node.cluster.claims.wait_flushed()
+    if scope.cancelled_caught:
+        node.metrics.count("unflushed_stops_total")
+        logs.log(logs.WARNING, "stop_leaves_claims_unwritten")
+
+
 def is_busy(node: Node) -> bool:
     """Return whether a request is open or an answer in progress."""
     return bool(node.n_open_requests or node.streams.n_running)
--- a/packages/apricotlift-node/src/apricotlift/node/gate.py
+++ b/packages/apricotlift-node/src/apricotlift/node/gate.py
@@ -34,6 +34,7 @@
         default_factory=lambda: Admission(AdmissionSettings(), 1.0)
     )
     _waiting: dict[str, anyio.Event] = field(default_factory=dict)
+    _expired: set[str] = field(default_factory=set)
 
     @asynccontextmanager
     async def enter(self, request: AdmissionRequest) -> AsyncIterator[None]:
@@ -88,6 +89,3 @@
             event = self._waiting.get(request_id)
             if event is not None:
                 event.set()
-
-    def __post_init__(self):
-        self._expired: set[str] = set()
--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -14,7 +14,11 @@
 from apricotlift.node.drain import is_busy, wait_for_stop
 from apricotlift.node.exports import Exporter
 from apricotlift.node.links import Links
-from apricotlift.node.ordering import build_order_owner, run_orders
+from apricotlift.node.ordering import (
+    PreviousDeclarations,
+    build_order_owner,
+    run_orders,
+)
 from apricotlift.node.placement import Placer
 from apricotlift.node.probes import Probes
 from apricotlift.node.reading import watch_attempts
@@ -123,8 +127,9 @@
         tasks.start_soon(
             follow_engines, cluster, metrics, node.get_declarations, node.get_engine
         )
-        orders = build_order_owner(node)
-        tasks.start_soon(run_orders, node, orders)
+        previous = PreviousDeclarations()
+        orders = build_order_owner(node, previous)
+        tasks.start_soon(run_orders, node, orders, previous)
         servers = [
             _start_server(node, "callers", build_callers_app(node), callers_socket),
             _start_server(
--- a/packages/apricotlift-node/src/apricotlift/node/ordering.py
+++ b/packages/apricotlift-node/src/apricotlift/node/ordering.py
@@ -10,7 +10,7 @@
 _RETRY_S = 1.0
 
 
-class _PreviousDeclarations:
+class PreviousDeclarations:
     """The declarations one version before the one in force."""
 
     def __init__(self):
@@ -31,10 +31,8 @@
         self.version = version
 
 
-def build_order_owner(node: Node) -> OrderOwner:
+def build_order_owner(node: Node, previous: PreviousDeclarations) -> OrderOwner:
     """Return the order owner of a node."""
-    previous = _PreviousDeclarations()
-    node.previous_declarations = previous
     cluster = node.cluster
 
     def get_view() -> OrderView:
@@ -60,7 +58,9 @@
     )
 
 
-async def run_orders(node: Node, owner: OrderOwner) -> None:
+async def run_orders(
+    node: Node, owner: OrderOwner, previous: PreviousDeclarations
+) -> None:
     """Run the order owner once there is a configuration."""
     await node.cluster.follower.wait_for_version(1)
     async with anyio.create_task_group() as tasks:
@@ -68,7 +68,7 @@
         while True:
             version = node.cluster.follower.version
             try:
-                await node.previous_declarations.load(node, version)
+                await previous.load(node, version)
             except ApricotliftError as error:
                 node.metrics.count("order_steps_failed_total", reason=error.code)
                 await anyio.sleep(_RETRY_S)
--- a/packages/apricotlift-node/src/apricotlift/node/runtime.py
+++ b/packages/apricotlift-node/src/apricotlift/node/runtime.py
@@ -70,7 +70,6 @@
     placer: Placer
     exporter: Exporter
     calls: CallContext | None = None
-    previous_declarations: object = None
     gate: Gate = field(init=False)
     limits: Limits = field(default_factory=Limits)
     is_draining: bool = False
