Forward opaque requests on the users' platform: a thin whole path

Cause: the users deploy on their own platform, whose requests stay opaque; the present node decodes engines' JSON and renders its own. Ruled out: a second node inside platform/ (it would hold decisions and state twice); the stand-ins' claims for calls that run once (one client attempt reaches one node). The project's own tests were not run on this commit.

--- a/packages/apricotlift-core/src/apricotlift/core/logs.py
+++ b/packages/apricotlift-core/src/apricotlift/core/logs.py
@@ -8,6 +8,7 @@
 import logging as stdlib_logging
 import sys
 from datetime import UTC, datetime
+from typing import TextIO
 
 from absl import flags
 from absl import logging as absl_logging
@@ -48,8 +49,8 @@
         return json.dumps(line, default=str)
 
 
-def configure(component: str, level: str = "info") -> None:
-    """Send JSON lines to standard error.
+def configure(component: str, level: str = "info", stream: TextIO | None = None):
+    """Send JSON lines to standard error, or to another stream.
 
     :param component: the name of the process, on every line.
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
@@ -61,7 +62,7 @@
     handler = absl_logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter(component))
     absl_logging.use_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     absl_logging.set_verbosity(level)
     stdlib_logging.getLogger("websockets").setLevel(stdlib_logging.WARNING)
 
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -0,0 +1,218 @@
+"""Which parts of prompts the engines and KV stores hold, by their events.
+
+Events come late and a few never come, so what is said of an engine is a hint. For a
+store only parts that were reported complete are named, and nothing is named while its
+events can't be read: a part that is still being written must not be fetched.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+from apricotlift.core import clocks, logs
+from apricotlift.core.errors import ApricotliftError
+from apricotlift.core.hashing import rank_nodes
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.dialect import CacheEvents, Dialect
+from apricotlift.upstreams.kept import Call, KeptConnections
+
+POLL_MS = 1000
+_ANSWER_MARGIN_S = 0.7
+_PAUSE_S = 0.3
+
+#: Readers that are left free for nodes that join or restart.
+_N_SPARE_READERS = 3
+
+#: A save that was asked for and has not been reported holds its room for this time.
+_PENDING_S = 3.0
+
+
+@dataclass(frozen=True)
+class Holder:
+    """An engine or a store whose events are followed."""
+
+    address: str
+    failure_domain: str
+    capacity_tokens: int
+    n_event_readers: int
+    is_store: bool
+
+
+@dataclass
+class HeldParts:
+    """What one holder is known to hold.
+
+    :param is_current: whether its events could be read at the last try.
+    """
+
+    holder: Holder
+    boot: int = 0
+    next_number: int = 0
+    is_current: bool = False
+    n_tokens: int = 0
+    parts: dict[tuple[str, str], int] = field(default_factory=dict)
+    pending: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self.parts.clear()
+        self.pending.clear()
+        self.n_tokens = 0
+
+    def set_tokens(self, key: tuple[str, str], n_tokens: int) -> None:
+        """Note how much of a part is held."""
+        self.n_tokens += n_tokens - self.parts.pop(key, 0)
+        self.pending.pop(key, None)
+        if n_tokens:
+            self.parts[key] = n_tokens
+
+    def count_free(self, now: float) -> int:
+        """Return the room that is neither held nor asked for."""
+        for key, (_, until) in list(self.pending.items()):
+            if until < now:
+                del self.pending[key]
+        n_pending = sum(n_tokens for n_tokens, _ in self.pending.values())
+        return self.holder.capacity_tokens - self.n_tokens - n_pending
+
+
+class CacheIndex:
+    """What all holders hold, as far as this node knows.
+
+    :param list_holders: returns the engines and stores of the configuration.
+    :param list_nodes: returns the names of the live nodes, this one included.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        dialect: Dialect,
+        list_holders: Callable[[], list[Holder]],
+        list_nodes: Callable[[], list[str]],
+        metrics: Metrics,
+        clock: Callable[[], float] = clocks.monotonic,
+    ):
+        self.held: dict[str, HeldParts] = {}
+        self._own_name = own_name
+        self._dialect = dialect
+        self._list_holders = list_holders
+        self._list_nodes = list_nodes
+        self._metrics = metrics
+        self._clock = clock
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def find_holders(self, salt: str, part_id: str) -> list[tuple[HeldParts, int]]:
+        """Return who holds a part, and how many tokens of it."""
+        key = (salt, part_id)
+        return [
+            (held, held.parts[key])
+            for held in self.held.values()
+            if held.is_current and key in held.parts
+        ]
+
+    def get_tokens(self, address: str, salt: str, part_id: str) -> int:
+        """Return how many tokens of a part one holder has."""
+        held = self.held.get(address)
+        return held.parts.get((salt, part_id), 0) if held else 0
+
+    def list_stores(self) -> list[HeldParts]:
+        """Return the stores whose events are followed now."""
+        return [
+            held
+            for held in self.held.values()
+            if held.holder.is_store and held.is_current
+        ]
+
+    def reserve(self, held: HeldParts, salt: str, part_id: str, n_tokens: int) -> None:
+        """Note that a part was asked to be saved."""
+        held.pending[(salt, part_id)] = (n_tokens, self._clock() + _PENDING_S)
+
+    async def run(self) -> None:
+        """Follow the holders of the configuration for ever."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                wanted = {
+                    holder.address: holder
+                    for holder in self._list_holders()
+                    if self._is_reader(holder)
+                }
+                for address, scope in list(self._scopes.items()):
+                    known = self.held.get(address)
+                    if known is None or wanted.get(address) != known.holder:
+                        scope.cancel()
+                        del self._scopes[address]
+                        self.held.pop(address, None)
+                for address, holder in wanted.items():
+                    if address not in self._scopes:
+                        scope = self._scopes[address] = anyio.CancelScope()
+                        held = self.held[address] = HeldParts(holder)
+                        tasks.start_soon(self._follow, held, scope)
+                await anyio.sleep(_PAUSE_S)
+
+    def _is_reader(self, holder: Holder) -> bool:
+        nodes = self._list_nodes()
+        n_readers = holder.n_event_readers - _N_SPARE_READERS
+        if len(nodes) <= n_readers:
+            return True
+        return self._own_name in rank_nodes(holder.address, nodes)[:n_readers]
+
+    async def _follow(self, held: HeldParts, scope: anyio.CancelScope) -> None:
+        connections = KeptConnections(held.holder.address, 1, self._metrics)
+        with scope:
+            while True:
+                try:
+                    batch = await self._poll(held, connections)
+                except (ApricotliftError, ValueError) as error:
+                    self._note_failure(held, error)
+                    await anyio.sleep(_PAUSE_S)
+                    continue
+                self._apply(held, batch)
+        await connections.close()
+
+    async def _poll(self, held: HeldParts, connections: KeptConnections) -> CacheEvents:
+        call = self._dialect.build_events_call(held.next_number, POLL_MS)
+        answer = await connections.request(
+            Call(call.method, call.target, call.headers, call.body),
+            POLL_MS / 1000 + _ANSWER_MARGIN_S,
+        )
+        if answer.status != 200:
+            raise ValueError(f"status {answer.status}")
+        return self._dialect.decode_events(answer.body)
+
+    def _apply(self, held: HeldParts, batch: CacheEvents) -> None:
+        is_new_boot = batch.boot != held.boot
+        if is_new_boot or (batch.has_gap and held.holder.is_store):
+            held.clear()
+        if is_new_boot and held.boot and held.next_number:
+            # The numbers of another boot's events say nothing about this one's.
+            held.boot = batch.boot
+            held.next_number = 0
+            return
+        held.boot = batch.boot
+        held.next_number = batch.next_number
+        for event in batch.events:
+            held.set_tokens((event.salt, event.part_id), event.n_tokens)
+        if batch.has_gap:
+            self._metrics.count("cache_event_gaps_total")
+        if not held.is_current:
+            held.is_current = True
+            logs.log(
+                logs.INFO,
+                "cache_events_regained",
+                holder=held.holder.address,
+                n_parts=len(held.parts),
+            )
+
+    def _note_failure(self, held: HeldParts, error: Exception) -> None:
+        reason = error.code if isinstance(error, ApricotliftError) else "bad_answer"
+        self._metrics.count("cache_event_polls_failed_total", reason=reason)
+        if held.is_current:
+            held.is_current = False
+            logs.log(
+                logs.WARNING,
+                "cache_events_lost",
+                holder=held.holder.address,
+                reason=str(error),
+            )
+        if held.holder.is_store:
+            held.clear()
+            held.next_number = 0
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -0,0 +1,149 @@
+"""Follows a table of the platform's store.
+
+The whole table is read once; after that a long poll brings the changes in order. When
+the store has dropped the history that the next poll needs, or a poll fails, the table
+is read again.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+from apricotlift.core import clocks, logs
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.metrics import Metrics
+
+#: How long the store holds a poll open without news. A connection that went silent is
+#: noticed after this time, which has to fit into the bound of a configuration.
+POLL_S = 1.6
+_FIRST_PAUSE_S = 0.08
+_MAX_PAUSE_S = 0.6
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """One row; ``value`` is ``None`` where it was deleted."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True)
+class RowSet:
+    """Rows and the store's version that they belong to."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+class RowSource(Protocol):
+    """The reading side of the store."""
+
+    async def read_table(self, table: str) -> RowSet:
+        """Return all rows.
+
+        :raises ApricotliftError: ``table_unavailable``.
+        """
+
+    async def wait_for_changes(self, table: str, after: int, wait_s: float) -> RowSet:
+        """Return the rows that changed after a version, none when the wait is over.
+
+        :raises ApricotliftError: ``history_lost`` or ``table_unavailable``.
+        """
+
+
+class Feed:
+    """The content of one table, kept current.
+
+    :param apply: receives rows; the flag tells whether they are the whole table.
+    """
+
+    def __init__(
+        self,
+        source: RowSource,
+        table: str,
+        apply: Callable[[RowSet, bool], None],
+        metrics: Metrics,
+        clock: Callable[[], float] = clocks.monotonic,
+    ):
+        self.table = table
+        self.is_loaded = False
+        self.version = 0
+        self._source = source
+        self._apply = apply
+        self._metrics = metrics
+        self._clock = clock
+        self._confirmed_at = float("-inf")
+        self._lost_at: float | None = None
+        self._regained_at = float("-inf")
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store last answered."""
+        return self._clock() - self._confirmed_at
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._lost_at is not None
+
+    @property
+    def regained_s(self) -> float:
+        """Seconds since the table could be read again after a loss."""
+        return self._clock() - self._regained_at
+
+    async def run(self) -> None:
+        """Follow the table for ever."""
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            try:
+                await self._load()
+                pause_s = _FIRST_PAUSE_S
+                while True:
+                    await self._poll()
+            except ApricotliftError as error:
+                if error.code is Code.HISTORY_LOST:
+                    self._metrics.count("feed_history_lost_total", table=self.table)
+                    logs.log(logs.INFO, "feed_history_lost", table=self.table)
+                    continue
+                self._note_loss(error)
+                await anyio.sleep(pause_s * random.uniform(0.7, 1.3))
+                pause_s = min(_MAX_PAUSE_S, pause_s * 2)
+
+    async def _load(self) -> None:
+        rows = await self._source.read_table(self.table)
+        self._note_answer()
+        self.version = rows.version
+        self._apply(rows, True)
+        self.is_loaded = True
+
+    async def _poll(self) -> None:
+        rows = await self._source.wait_for_changes(self.table, self.version, POLL_S)
+        self._note_answer()
+        self.version = max(self.version, rows.version)
+        if rows.rows:
+            self._apply(rows, False)
+
+    def _note_answer(self) -> None:
+        self._confirmed_at = self._clock()
+        if self._lost_at is not None:
+            seconds = round(self._confirmed_at - self._lost_at, 3)
+            self._lost_at = None
+            self._regained_at = self._confirmed_at
+            logs.log(logs.INFO, "store_regained", table=self.table, seconds=seconds)
+
+    def _note_loss(self, error: ApricotliftError) -> None:
+        self._metrics.count("feed_failures_total", table=self.table, reason=error.code)
+        if self._lost_at is None:
+            self._lost_at = self._clock()
+            logs.log(
+                logs.WARNING,
+                "store_lost",
+                table=self.table,
+                code=error.code,
+                reason=error.message,
+                age_s=round(self.age_s, 3) if self.is_loaded else None,
+            )
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/listeners.py
@@ -0,0 +1,65 @@
+"""HTTP listeners: uvicorn servers on sockets that this process has bound."""
+
+import socket
+import ssl
+from contextlib import nullcontext
+
+import uvicorn
+
+_BACKLOG = 2048
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process."""
+
+    def capture_signals(self):
+        """Install no signal handlers."""
+        return nullcontext()
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket; port 0 lets the system choose."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol. Without it, a
+    # reply of two pieces waits 40 ms for the caller's delayed acknowledgement.
+    listener = socket.socket(family, proto=socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host.strip("[]"), int(port)))
+    listener.listen(_BACKLOG)
+    return listener
+
+
+def get_bound_address(listener: socket.socket) -> str:
+    """Return ``IP:PORT`` of a listening socket."""
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def build_server(
+    app,
+    context: ssl.SSLContext | None,
+    max_header_bytes: int,
+    idle_timeout_s: float = 75,
+) -> HttpServer:
+    """Return a server for an ASGI app.
+
+    :param idle_timeout_s: after this time an idle connection is closed.
+    """
+    config = uvicorn.Config(
+        app,
+        log_config=None,
+        log_level="critical",
+        access_log=False,
+        lifespan="off",
+        server_header=False,
+        date_header=False,
+        http="h11",
+        ws="none",
+        timeout_keep_alive=idle_timeout_s,
+        h11_max_incomplete_event_size=2 * max_header_bytes,
+    )
+    config.load()
+    if context is not None:
+        config.ssl = context
+    return HttpServer(config)
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -0,0 +1,221 @@
+"""Where a prompt runs, and which of its parts are reused, fetched, read and saved.
+
+Each engine is given an expected cost in seconds: the time to the first token, and a
+charge for tokens that are read again or moved. The prompt's last part belongs to the
+request alone, so only the parts before it are worth keeping.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from apricotlift.core.hashing import digest, rank_nodes
+from apricotlift.forwarding.cacheindex import CacheIndex, HeldParts
+from apricotlift.forwarding.facts import Account, Engine, Prompt, PromptPart
+from apricotlift.forwarding.servers import ServerHandle
+
+#: Prompt tokens that an engine reads in a second, until something better is known.
+PREFILL_TOKENS_PER_S = 30_000.0
+
+#: Moving cached parts takes this many times as long between failure domains.
+_OTHER_DOMAIN_FACTOR = 2.0
+_FETCH_SET_UP_S = 0.006
+
+#: Charges in seconds for a thousand tokens.
+_READ_AGAIN_CHARGE_S = 0.06
+_MOVE_CHARGE_S = 0.012
+
+_DOUBT_COST_S = 5.0
+_FAILURE_COST_S = 2.0
+_STEP_COST_S = 0.004
+#: Requests for the same parts go to the same engine while nobody holds them.
+_RANK_COST_S = 0.02
+
+_NO_ADDRESS = "-"
+
+
+@dataclass(frozen=True)
+class Placement:
+    """How one attempt of a prompt runs.
+
+    :param weights: the version that the engine is expected to have.
+    :param fetch: a source for each part, ``None`` where it isn't fetched.
+    :param save: a store for each part, ``None`` where it isn't saved.
+    """
+
+    handle: ServerHandle
+    weights: int | None
+    salt: str
+    fetch: tuple[str | None, ...]
+    save: tuple[str | None, ...]
+    n_reused: int
+    n_fetched: int
+    n_read: int
+    cost_s: float
+
+
+@dataclass(frozen=True)
+class EngineChoice:
+    """An engine that may run the prompt.
+
+    :param is_doubtful: it refuses work now or its breaker is open.
+    :param weights: the version that it has.
+    """
+
+    handle: ServerHandle
+    weights: int | None
+    is_doubtful: bool = False
+    is_outdated: bool = False
+
+
+def build_salt(model: str, weights: int | None, account: Account | None) -> str:
+    """Return the text under which parts are cached.
+
+    It differs by weight version, so that no request reads parts of another version,
+    and by account where the account shares nothing.
+
+    >>> build_salt("m", 2, None) == build_salt("m", 3, None)
+    False
+    """
+    isolated = account.name if account is not None and account.is_isolated else ""
+    return digest("parts", model, weights or 0, isolated).hex()[:16]
+
+
+def place(
+    prompt: Prompt,
+    account: Account | None,
+    engine: Engine,
+    choices: Sequence[EngineChoice],
+    index: CacheIndex,
+    now: float,
+    source: random.Random,
+) -> Placement | None:
+    """Return the placement of the least expected cost, ``None`` without an engine."""
+    shared = prompt.parts[:-1]
+    names = [choice.handle.server.server_id for choice in choices]
+    key = shared[-1].part_id if shared else ""
+    ranks = {name: n for n, name in enumerate(rank_nodes(key, names))} if key else {}
+    best = None
+    for choice in choices:
+        rank = ranks.get(choice.handle.server.server_id, 0)
+        found = _place_on(prompt, account, engine, choice, index, now)
+        cost_s = found.cost_s + _RANK_COST_S * min(rank, 3) * source.uniform(0.9, 1.1)
+        if best is None or cost_s < best[0]:
+            best = (cost_s, found)
+    if best is None:
+        return None
+    return best[1]
+
+
+def choose_saves(
+    placement: Placement, prompt: Prompt, index: CacheIndex, now: float
+) -> tuple[str | None, ...]:
+    """Return the store for each part that no store holds yet, and reserve its room."""
+    saves: list[str | None] = []
+    domain = placement.handle.server.failure_domain
+    stores = index.list_stores()
+    for part in prompt.parts[:-1]:
+        key = (placement.salt, part.part_id)
+        if any(key in held.parts or key in held.pending for held in stores):
+            saves.append(None)
+            continue
+        chosen = _choose_store(stores, part, domain, now)
+        if chosen is None:
+            saves.append(None)
+            continue
+        index.reserve(chosen, placement.salt, part.part_id, part.n_tokens)
+        saves.append(chosen.holder.address)
+    saves.append(None)
+    return tuple(saves)
+
+
+def format_addresses(addresses: Sequence[str | None]) -> str | None:
+    """Return the header value for one address a part, ``None`` where there is none.
+
+    >>> format_addresses(["10.0.0.1:80", None])
+    '10.0.0.1:80,-'
+    """
+    if not any(addresses):
+        return None
+    return ",".join(address or _NO_ADDRESS for address in addresses)
+
+
+def _choose_store(
+    stores: Sequence[HeldParts], part: PromptPart, domain: str, now: float
+) -> HeldParts | None:
+    def rank(held: HeldParts) -> tuple[bool, int]:
+        return (held.holder.failure_domain == domain, held.count_free(now))
+
+    fitting = [held for held in stores if held.count_free(now) >= part.n_tokens + 16]
+    return max(fitting, key=rank, default=None)
+
+
+def _place_on(
+    prompt: Prompt,
+    account: Account | None,
+    engine: Engine,
+    choice: EngineChoice,
+    index: CacheIndex,
+    now: float,
+) -> Placement:
+    handle = choice.handle
+    server = handle.server
+    salt = build_salt(prompt.model, choice.weights, account)
+    n_reused = n_fetched = 0
+    fetch_s = move_s = 0.0
+    fetch: list[str | None] = []
+    is_joined = True
+    for part in prompt.parts[:-1]:
+        source = None
+        if is_joined and index.get_tokens(server.address, salt, part.part_id):
+            n_reused += part.n_tokens
+        elif is_joined and (found := _find_source(index, salt, part, server)):
+            source, factor = found
+            n_fetched += part.n_tokens
+            part_s = part.n_tokens * engine.token_bytes * 8e-6 / engine.link_mbps
+            fetch_s += part_s * factor + _FETCH_SET_UP_S
+            move_s += part.n_tokens * _MOVE_CHARGE_S / 1000 * factor
+        else:
+            # An engine reuses a part only where it has all parts before it.
+            is_joined = False
+        fetch.append(source)
+    fetch.append(None)
+    n_tokens = max(prompt.n_prompt_tokens, sum(p.n_tokens for p in prompt.parts))
+    n_read = max(1, n_tokens - n_reused - n_fetched)
+    n_shared_read = sum(p.n_tokens for p in prompt.parts[:-1]) - n_reused - n_fetched
+    cost_s = fetch_s + move_s + n_read / PREFILL_TOKENS_PER_S
+    cost_s += n_shared_read * _READ_AGAIN_CHARGE_S / 1000
+    cost_s += handle.prefill_tokens / PREFILL_TOKENS_PER_S
+    cost_s += handle.n_in_flight * _STEP_COST_S
+    if engine.kv_capacity_tokens:
+        crowding = (handle.running_tokens + n_tokens) / engine.kv_capacity_tokens
+        cost_s += max(0.0, crowding - 0.5)
+    cost_s += handle.get_failure_share(now) * _FAILURE_COST_S
+    cost_s += _DOUBT_COST_S * choice.is_doubtful + _DOUBT_COST_S * choice.is_outdated
+    return Placement(
+        handle,
+        choice.weights,
+        salt,
+        tuple(fetch),
+        (),
+        n_reused,
+        n_fetched,
+        n_read,
+        cost_s,
+    )
+
+
+def _find_source(index, salt, part, server) -> tuple[str, float] | None:
+    """Return the nearest holder of a whole part and how much longer it takes."""
+    best = None
+    for held, n_tokens in index.find_holders(salt, part.part_id):
+        if n_tokens < part.n_tokens or held.holder.address == server.address:
+            continue
+        factor = 1.0
+        if held.holder.failure_domain != server.failure_domain:
+            factor = _OTHER_DOMAIN_FACTOR
+        # A store never drops a part on its own, an engine may.
+        rank = (factor, not held.holder.is_store)
+        if best is None or rank < best[0]:
+            best = (rank, (held.holder.address, factor))
+    return best[1] if best else None
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -0,0 +1,94 @@
+"""Settings of a forwarding node: an INI file, checked as a whole."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+from apricotlift.core.findings import Findings, Place
+from apricotlift.core.inifile import build_section, read_ini
+from pydantic import BaseModel, Field
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Address = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Seconds = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+Milliseconds = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+
+
+class NodeModel(BaseModel):
+    """``[node]``."""
+
+    name: Name
+    failure_domain: Annotated[str, Field(min_length=1)]
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+class ListenModel(BaseModel):
+    """``[listen]``; an empty address means that the listener isn't started."""
+
+    callers: Address
+    readiness: Address
+    directory: Address
+    peers: Address
+    metrics: Address | str = ""
+
+
+class StoreModel(BaseModel):
+    """``[store]``: the platform's store."""
+
+    address: Address
+    timeout_s: Seconds = 1.0
+
+
+class BoundsModel(BaseModel):
+    """``[bounds]``: what the users ask for, in the units of their settings."""
+
+    grace_s: Seconds = 8.0
+    drain_ms: Milliseconds = 2000.0
+    order_lease_ms: Milliseconds = 3000.0
+    weights_ms: Milliseconds = 8000.0
+    retry_share: Annotated[float, Field(ge=0)] = 0.2
+    n_retries: Annotated[float, Field(ge=0)] = 50.0
+    directory_ttl_max_s: Seconds = 5.0
+
+
+@dataclass(frozen=True)
+class ForwardingSettings:
+    """All settings of a node; each attribute is one section."""
+
+    node: NodeModel
+    listen: ListenModel
+    store: StoreModel
+    bounds: BoundsModel = field(default_factory=BoundsModel)
+
+
+_SECTIONS: dict[str, type[BaseModel]] = {
+    "node": NodeModel,
+    "listen": ListenModel,
+    "store": StoreModel,
+    "bounds": BoundsModel,
+}
+_REQUIRED = ("node", "listen", "store")
+
+
+def load_settings(path: str | Path) -> ForwardingSettings:
+    """Read and check a settings file.
+
+    :raises ApricotliftError: ``bad_settings`` with all findings and their places.
+    """
+    findings = Findings()
+    built: dict[str, BaseModel] = {}
+    for section in read_ini(path, findings):
+        model = _SECTIONS.get(section.name)
+        if model is None:
+            message = f"unknown section; known are {', '.join(_SECTIONS)}"
+            findings.add(section.get_place(), "unknown_section", message)
+            continue
+        checked = build_section(model, section, findings)
+        if checked is not None:
+            built[section.name] = checked
+    if not findings:
+        for name in _REQUIRED:
+            if name not in built:
+                findings.add(Place(str(path)), "missing", f"section [{name}] is needed")
+    findings.raise_if_any()
+    return ForwardingSettings(**built)
--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -8,6 +8,12 @@
 from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.listeners import (
+    HttpServer,
+    bind,
+    build_server,
+    get_bound_address,
+)
 from apricotlift.node.admin import build_admin_app
 from apricotlift.node.cacheevents import follow_engines
 from apricotlift.node.cluster import Cluster
@@ -23,13 +29,7 @@
 from apricotlift.node.probes import Probes
 from apricotlift.node.reading import watch_attempts
 from apricotlift.node.runtime import Node
-from apricotlift.node.server import (
-    Server,
-    bind,
-    build_callers_app,
-    build_server,
-    get_bound_address,
-)
+from apricotlift.node.server import build_callers_app
 from apricotlift.node.services import build_call_context
 from apricotlift.node.settings import (
     NodeSettings,
@@ -149,7 +149,7 @@
         tasks.cancel_scope.cancel()
 
 
-def _start_server(node: Node, name: str, app, listener) -> Server:
+def _start_server(node: Node, name: str, app, listener) -> HttpServer:
     context = build_server_context(node.settings.tls)
     server = build_server(app, context, node.settings.border.max_header_bytes)
     node.tasks.start_soon(_run_server, server, listener)
@@ -162,7 +162,7 @@
     logs.log(logs.INFO, "listening", listener=name, address=address)
 
 
-async def _run_server(server: Server, listener) -> None:
+async def _run_server(server: HttpServer, listener) -> None:
     await server.serve(sockets=[listener])
 
 
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
@@ -64,8 +64,8 @@
         try:
             async for chunk in self._raw.aiter_stream():
                 yield chunk
-        except _TRANSPORT_ERRORS as error:
-            raise _translate(error) from error
+        except TRANSPORT_ERRORS as error:
+            raise translate(error) from error
 
     async def read(self, max_bytes: int) -> bytes:
         """Return the whole body.
@@ -200,7 +200,7 @@
             yield pool
 
 
-_TRANSPORT_ERRORS = (
+TRANSPORT_ERRORS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
     httpcore.ProtocolError,
@@ -212,16 +212,17 @@
 ) -> httpcore.Response:
     try:
         return await pool.handle_async_request(request)
-    except _TRANSPORT_ERRORS as error:
-        raise _translate(error) from error
+    except TRANSPORT_ERRORS as error:
+        raise translate(error) from error
 
 
 async def _close(raw: httpcore.Response) -> None:
-    with suppress(*_TRANSPORT_ERRORS):
+    with suppress(*TRANSPORT_ERRORS):
         await raw.aclose()
 
 
-def _translate(error: Exception) -> ApricotliftError:
+def translate(error: Exception) -> ApricotliftError:
+    """Return the error for a failure of the transport, with what is known of it."""
     name = type(error).__name__
     text = f"{name}: {error}" if str(error) else name
     if isinstance(error, httpcore.ConnectError | httpcore.ConnectTimeout):
