--- a/packages/apricotlift-core/src/apricotlift/core/logs.py
+++ b/packages/apricotlift-core/src/apricotlift/core/logs.py
@@ -65,6 +65,8 @@
     handler.python_handler.stream = stream or sys.stderr
     absl_logging.set_verbosity(level)
     stdlib_logging.getLogger("websockets").setLevel(stdlib_logging.WARNING)
+    # asyncio repeats one line for each write to a connection that is already lost.
+    stdlib_logging.getLogger("asyncio").setLevel(stdlib_logging.ERROR)
 
 
 def log(level: int, event: str, **fields: object) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -20,6 +20,15 @@
 _ANSWER_MARGIN_S = 0.7
 _PAUSE_S = 0.3
 
+#: Events come one by one; a pause between two calls collects them.
+_COLLECT_S = 0.25
+
+#: A part that this node has had an engine read is expected there for this time, until
+#: the engine's own event comes.
+_EXPECTED_S = 2.0
+
+_MAX_EXPECTED = 500
+
 #: Readers that are left free for nodes that join or restart.
 _N_SPARE_READERS = 3
 
@@ -52,11 +61,13 @@
     n_tokens: int = 0
     parts: dict[tuple[str, str], int] = field(default_factory=dict)
     pending: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
+    expected: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def clear(self) -> None:
         """Forget everything."""
         self.parts.clear()
         self.pending.clear()
+        self.expected.clear()
         self.n_tokens = 0
 
     def set_tokens(self, key: tuple[str, str], n_tokens: int) -> None:
@@ -109,10 +120,24 @@
             if held.is_current and key in held.parts
         ]
 
-    def get_tokens(self, address: str, salt: str, part_id: str) -> int:
-        """Return how many tokens of a part one holder has."""
+    def has_part(self, address: str, salt: str, part_id: str) -> bool:
+        """Return whether an engine has a part, or will have when it is needed."""
         held = self.held.get(address)
-        return held.parts.get((salt, part_id), 0) if held else 0
+        if held is None:
+            return False
+        key = (salt, part_id)
+        return key in held.parts or held.expected.get(key, 0.0) > self._clock()
+
+    def expect(self, address: str, salt: str, part_id: str) -> None:
+        """Note that an engine has been given a prompt with a part."""
+        held = self.held.get(address)
+        if held is None:
+            return
+        now = self._clock()
+        if len(held.expected) > _MAX_EXPECTED:
+            live = {key: until for key, until in held.expected.items() if until > now}
+            held.expected = live
+        held.expected[(salt, part_id)] = now + _EXPECTED_S
 
     def list_stores(self) -> list[HeldParts]:
         """Return the stores whose events are followed now."""
@@ -166,6 +191,8 @@
                     await anyio.sleep(_PAUSE_S)
                     continue
                 self._apply(held, batch)
+                if batch.events:
+                    await anyio.sleep(_COLLECT_S)
         await connections.close()
 
     async def _poll(self, held: HeldParts, connections: KeptConnections) -> CacheEvents:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -17,7 +17,7 @@
 
 #: How long the store holds a poll open without news. A connection that went silent is
 #: noticed after this time, which has to fit into the bound of a configuration.
-POLL_S = 1.6
+POLL_S = 2.2
 _FIRST_PAUSE_S = 0.08
 _MAX_PAUSE_S = 0.6
 
@@ -59,6 +59,7 @@
     """The content of one table, kept current.
 
     :param apply: receives rows; the flag tells whether they are the whole table.
+    :param poll_s: how long the store holds a poll open.
     """
 
     def __init__(
@@ -68,8 +69,10 @@
         apply: Callable[[RowSet, bool], None],
         metrics: Metrics,
         clock: Callable[[], float] = clocks.monotonic,
+        poll_s: float = POLL_S,
     ):
         self.table = table
+        self._poll_s = poll_s
         self.is_loaded = False
         self.version = 0
         self._source = source
@@ -121,7 +124,9 @@
         self.is_loaded = True
 
     async def _poll(self) -> None:
-        rows = await self._source.wait_for_changes(self.table, self.version, POLL_S)
+        rows = await self._source.wait_for_changes(
+            self.table, self.version, self._poll_s
+        )
         self._note_answer()
         self.version = max(self.version, rows.version)
         if rows.rows:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -22,14 +22,17 @@
 _FETCH_SET_UP_S = 0.006
 
 #: Charges in seconds for a thousand tokens.
-_READ_AGAIN_CHARGE_S = 0.06
+_READ_AGAIN_CHARGE_S = 0.15
 _MOVE_CHARGE_S = 0.012
 
 _DOUBT_COST_S = 5.0
 _FAILURE_COST_S = 2.0
 _STEP_COST_S = 0.004
-#: Requests for the same parts go to the same engine while nobody holds them.
+#: Requests for the same part go to the same engine while nobody holds it: all nodes
+#: rank the engines alike.
 _RANK_COST_S = 0.02
+_UNHELD_RANK_COST_S = 0.25
+_MAX_RANK = 3
 
 _NO_ADDRESS = "-"
 
@@ -91,15 +94,15 @@
     source: random.Random,
 ) -> Placement | None:
     """Return the placement of the least expected cost, ``None`` without an engine."""
-    shared = prompt.parts[:-1]
     names = [choice.handle.server.server_id for choice in choices]
-    key = shared[-1].part_id if shared else ""
+    key, rank_cost_s = _choose_rank_key(prompt, account, choices, index)
     ranks = {name: n for n, name in enumerate(rank_nodes(key, names))} if key else {}
     best = None
     for choice in choices:
         rank = ranks.get(choice.handle.server.server_id, 0)
         found = _place_on(prompt, account, engine, choice, index, now)
-        cost_s = found.cost_s + _RANK_COST_S * min(rank, 3) * source.uniform(0.9, 1.1)
+        cost_s = found.cost_s + rank_cost_s * min(rank, _MAX_RANK)
+        cost_s *= source.uniform(0.98, 1.02)
         if best is None or cost_s < best[0]:
             best = (cost_s, found)
     if best is None:
@@ -107,6 +110,13 @@
     return best[1]
 
 
+def note_placed(placement: Placement, prompt: Prompt, index: CacheIndex) -> None:
+    """Note that the chosen engine will hold the prompt's shared parts."""
+    address = placement.handle.server.address
+    for part in prompt.parts[:-1]:
+        index.expect(address, placement.salt, part.part_id)
+
+
 def choose_saves(
     placement: Placement, prompt: Prompt, index: CacheIndex, now: float
 ) -> tuple[str | None, ...]:
@@ -140,6 +150,20 @@
     return ",".join(address or _NO_ADDRESS for address in addresses)
 
 
+def _choose_rank_key(prompt, account, choices, index) -> tuple[str, float]:
+    """Return the part by which engines are ranked, and the cost of a later rank."""
+    salts = {
+        build_salt(prompt.model, choice.weights, account)
+        for choice in choices
+        if not choice.is_outdated
+    }
+    for part in prompt.parts[:-1]:
+        if not any(index.find_holders(salt, part.part_id) for salt in salts):
+            return part.part_id, _UNHELD_RANK_COST_S
+    shared = prompt.parts[:-1]
+    return (shared[-1].part_id if shared else ""), _RANK_COST_S
+
+
 def _choose_store(
     stores: Sequence[HeldParts], part: PromptPart, domain: str, now: float
 ) -> HeldParts | None:
@@ -167,7 +191,7 @@
     is_joined = True
     for part in prompt.parts[:-1]:
         source = None
-        if is_joined and index.get_tokens(server.address, salt, part.part_id):
+        if is_joined and index.has_part(server.address, salt, part.part_id):
             n_reused += part.n_tokens
         elif is_joined and (found := _find_source(index, salt, part, server)):
             source, factor = found
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -16,6 +16,7 @@
     Placement,
     choose_saves,
     format_addresses,
+    note_placed,
     place,
 )
 from apricotlift.forwarding.runtime import Runtime
@@ -223,6 +224,7 @@
             Code.SLOT_NOT_LOADED, message, Ran.NO, Scope.UPSTREAM, _RETRY_AFTER_S
         )
     saves = choose_saves(placement, prompt, node.index, now)
+    note_placed(placement, prompt, node.index)
     names = node.dialect.headers
     headers = [(names.cache_salt, placement.salt)]
     account = request.account
@@ -512,16 +514,24 @@
     node: Runtime, handle: ServerHandle, model: str, error: ApricotliftError, now: float
 ) -> None:
     """Learn from a refusal that an engine changes its weights, or has changed them."""
+    server = handle.server
     target = node.knowledge.targets.get(model)
-    known = node.get_weights(handle.server, model)
-    if target is None or known is None or known >= target.version:
+    known = node.get_weights(server, model)
+    if target is None or known is None:
         return
-    if error.code is Code.WRONG_SERVER and error.details.get("is_same_server"):
-        node.note_weights(handle.server, model, target.version)
+    if error.code is Code.WRONG_SERVER:
+        if not error.details.get("is_same_server"):
+            return
+        if known < target.version:
+            node.note_weights(server, model, target.version)
+        else:
+            node.forget_weights(server, model)
         handle.refuses_until = 0.0
         error.details["try_again"] = True
-        return
-    handle.refuses_until = now + _SWAP_REFUSAL_S
+    elif known < target.version:
+        # What it refuses while it loads, it runs on the new weights.
+        node.note_weights(server, model, target.version)
+        handle.refuses_until = now + _SWAP_REFUSAL_S
 
 
 def _log_attempt(
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -68,3 +68,7 @@
     def note_weights(self, server: Server, model: str, version: int) -> None:
         """Note a version that a server was seen to have before its entry says so."""
         self._weights[(*server.incarnation, model)] = version
+
+    def forget_weights(self, server: Server, model: str) -> None:
+        """Go back to what a server's entry says."""
+        self._weights.pop((*server.incarnation, model), None)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
@@ -25,6 +25,9 @@
 N_CRASHES = 3
 KEPT_S = 120.0
 
+#: News of a crash come at once in any case; only a silent connection waits so long.
+POLL_S = 8.0
+
 _CHECK_PAUSE_S = 0.05
 _CHECK_TIMEOUT_S = 0.3
 
@@ -52,7 +55,9 @@
     _crashes: dict[str, dict[str, float]] = field(default_factory=dict)
 
     def __post_init__(self):
-        self.feed = Feed(self.source, TABLE, self._apply, self.metrics, self.clock)
+        self.feed = Feed(
+            self.source, TABLE, self._apply, self.metrics, self.clock, POLL_S
+        )
 
     def check(self, fingerprint: str) -> None:
         """Refuse a request that has crashed servers.
