--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -61,12 +61,14 @@
 class EngineChoice:
     """An engine that may run the prompt.
 
-    :param is_doubtful: it refuses work now or its breaker is open.
     :param weights: the version that it has.
+    :param peer_tokens: prompt tokens that other nodes have given it to read.
+    :param is_doubtful: it refuses work now or its breaker is open.
     """
 
     handle: ServerHandle
     weights: int | None
+    peer_tokens: int = 0
     is_doubtful: bool = False
     is_outdated: bool = False
 
@@ -209,7 +211,8 @@
     n_shared_read = sum(p.n_tokens for p in prompt.parts[:-1]) - n_reused - n_fetched
     cost_s = fetch_s + move_s + n_read / PREFILL_TOKENS_PER_S
     cost_s += n_shared_read * _READ_AGAIN_CHARGE_S / 1000
-    cost_s += handle.prefill_tokens / PREFILL_TOKENS_PER_S
+    n_ahead = handle.prefill_tokens + choice.peer_tokens
+    cost_s += n_ahead / PREFILL_TOKENS_PER_S
     cost_s += handle.n_in_flight * _STEP_COST_S
     if engine.kv_capacity_tokens:
         crowding = (handle.running_tokens + n_tokens) / engine.kv_capacity_tokens
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -21,6 +21,7 @@
 )
 from apricotlift.forwarding.knowledge import Knowledge
 from apricotlift.forwarding.listeners import HttpServer, bind, build_server
+from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings, load_settings
@@ -29,7 +30,7 @@
 from apricotlift.state.membership import Membership
 from apricotlift.state.view import MemberState
 from apricotlift.wire.connections import PeerPool, PeerServer
-from apricotlift.wire.messages import MemberSummary
+from apricotlift.wire.messages import LoadNote, MemberSummary
 
 #: A stopping node still takes requests this long, because clients keep its address.
 LINGER_S = 3.0
@@ -65,9 +66,11 @@
         tasks.start_soon(knowledge.servers_feed.run)
         table = store.open_table("apricotlift")
         secret = await read_cluster_secret(table)
-        membership = await _join(stack, settings, table, secret, metrics, sockets)
+        membership, peer_loads = await _join(
+            stack, settings, table, secret, metrics, sockets
+        )
         node = _build_runtime(
-            settings, dialect, metrics, tasks, knowledge, store, membership
+            settings, dialect, metrics, tasks, knowledge, store, membership, peer_loads
         )
         stack.push_async_callback(node.handles.close)
         orders = WeightOrders(
@@ -75,6 +78,7 @@
             dialect,
             knowledge,
             node.handles,
+            node.note_weights,
             table,
             lambda: list(membership.view.get_eligible()),
             settings.bounds.order_lease_ms / 1000,
@@ -109,7 +113,7 @@
 
 async def _join(
     stack: AsyncExitStack, settings, table, secret: bytes, metrics: Metrics, sockets
-) -> Membership:
+) -> tuple[Membership, PeerLoads]:
     """Start membership and the listener for other nodes."""
     holder: list[Membership] = []
 
@@ -129,14 +133,16 @@
     membership = Membership(own, table, pool, metrics)
     holder.append(membership)
     membership.register(server)
+    peer_loads = PeerLoads(membership.view, pool, metrics)
+    server.register(LoadNote, peer_loads.handle_note)
     await stack.enter_async_context(pool)
     await stack.enter_async_context(server)
     await stack.enter_async_context(membership)
-    return membership
+    return membership, peer_loads
 
 
 def _build_runtime(
-    settings, dialect, metrics, tasks, knowledge, store, membership
+    settings, dialect, metrics, tasks, knowledge, store, membership, peer_loads
 ) -> Runtime:
     def count_nodes() -> int:
         return len(membership.view.get_eligible())
@@ -169,6 +175,7 @@
         Suspects(store.open_table("apricotlift-suspects"), store, metrics),
         index,
         membership,
+        peer_loads,
     )
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -11,6 +11,7 @@
 from apricotlift.forwarding.attempts import Dispatch, open_attempt
 from apricotlift.forwarding.events import EventSplitter
 from apricotlift.forwarding.facts import ClientRequest, Server, Service
+from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.placement import (
     EngineChoice,
     Placement,
@@ -42,7 +43,7 @@
 
 #: A stream that can go on elsewhere is taken to be stuck after this time without a
 #: first event, as a multiple of the latency target, or without a next one.
-_FIRST_EVENT_FACTOR = 2.0
+_FIRST_EVENT_FACTOR = 3.0
 _GAP_FACTOR = 4.0
 _GAP_MIN_S = 1.0
 
@@ -260,7 +261,8 @@
             is_outdated = age_s > _WEIGHTS_GRACE_S
         handle = node.handles.get(server)
         is_doubtful = handle.refuses_until > now or not handle.breaker.allows(now)
-        choices.append(EngineChoice(handle, weights, is_doubtful, is_outdated))
+        n_ahead = node.peer_loads.get_tokens(server.server_id)
+        choices.append(EngineChoice(handle, weights, n_ahead, is_doubtful, is_outdated))
     return choices
 
 
@@ -440,17 +442,35 @@
     """What an attempt takes of its server, until its first event and its end."""
 
     handle: ServerHandle
+    peer_loads: PeerLoads
     n_prefill: int
-    n_running: int
     started_at: float
     has_first: bool = False
+    is_reading: bool = False
+
+    def begin_reading(self) -> None:
+        """Note that the prompt is being read."""
+        self.is_reading = True
+        self.handle.prefill_tokens += self.n_prefill
+        if self.n_prefill:
+            server_id = self.handle.server.server_id
+            self.peer_loads.tell_started(server_id, self.n_prefill)
 
     def note_first(self) -> None:
-        """Note that the prompt has been read."""
+        """Note the first event."""
         if not self.has_first:
             self.has_first = True
-            self.handle.prefill_tokens -= self.n_prefill
             self.handle.note_latency(clocks.monotonic() - self.started_at)
+            self.end_reading()
+
+    def end_reading(self) -> None:
+        """Note that the prompt has been read, or was given up."""
+        if self.is_reading:
+            self.is_reading = False
+            self.handle.prefill_tokens -= self.n_prefill
+            if self.n_prefill:
+                server_id = self.handle.server.server_id
+                self.peer_loads.tell_read(server_id, self.n_prefill)
 
 
 @asynccontextmanager
@@ -462,10 +482,10 @@
     n_prefill = placement.n_read if placement else 0
     prompt = run.request.prompt
     n_running = prompt.n_prompt_tokens + prompt.n_output_tokens if prompt else 0
-    held = _HeldPlace(handle, n_prefill, n_running, now)
+    held = _HeldPlace(handle, node.peer_loads, n_prefill, now)
     ticket = handle.breaker.begin(now)
     handle.n_in_flight += 1
-    handle.prefill_tokens += n_prefill
+    held.begin_reading()
     handle.running_tokens += n_running
     verdict: bool | None = None
     try:
@@ -479,8 +499,7 @@
     finally:
         handle.n_in_flight -= 1
         handle.running_tokens -= n_running
-        if not held.has_first:
-            handle.prefill_tokens -= n_prefill
+        held.end_reading()
         finished_at = clocks.monotonic()
         if verdict is not None:
             handle.note_result(verdict, finished_at)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -11,6 +11,7 @@
 from apricotlift.forwarding.dialect import Dialect
 from apricotlift.forwarding.facts import Server
 from apricotlift.forwarding.knowledge import Knowledge
+from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings
 from apricotlift.forwarding.suspects import Suspects
@@ -35,6 +36,7 @@
     suspects: Suspects
     index: CacheIndex
     membership: Membership
+    peer_loads: PeerLoads
     random: Random = field(default_factory=Random)
     is_draining: bool = False
     is_stopping: bool = False
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
@@ -40,8 +40,13 @@
 #: An accepted order whose effect the entry doesn't show is repeated after this time.
 _ACCEPTED_LIMIT_S = 6.0
 
-#: Share of a model's engines that load at the same time.
-_SHARE_AT_ONCE = 0.5
+#: An accepted order is asked about after this time, at each step.
+_REPORT_DELAY_S = 0.5
+_REPORT_TIMEOUT_S = 0.4
+
+#: Engines of a model that load at the same time: a share, and at least so many.
+_SHARE_AT_ONCE = 0.34
+_N_AT_ONCE_MIN = 2
 
 
 @dataclass
@@ -59,6 +64,7 @@
 class WeightOrders:
     """The orders of this node.
 
+    :param note_weights: receives a version that an engine was seen to have.
     :param list_nodes: returns the names of the live nodes, this one included.
     """
 
@@ -66,12 +72,14 @@
     dialect: Dialect
     knowledge: Knowledge
     handles: ServerHandles
+    note_weights: Callable[[Server, str, int], None]
     table: object
     list_nodes: Callable[[], list[str]]
     order_lease_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     _ordered: dict[tuple, _Ordered] = field(default_factory=dict)
+    _loaded: dict[tuple, int] = field(default_factory=dict)
     _last_order_at: float = float("-inf")
     _next_attempt_at: float = 0.0
     _lease: TableLease = field(init=False)
@@ -94,8 +102,10 @@
         for server in self.knowledge.servers.values():
             if not self.knowledge.is_serving(server):
                 continue
-            for model, loaded in server.weights.items():
+            for model in server.weights:
                 target = self.knowledge.targets.get(model)
+                loaded = self._loaded.get((server.incarnation, model), 0)
+                loaded = max(loaded, server.weights[model])
                 if target is not None and loaded < target.version:
                     outdated.append((server, model, target.version))
         return sorted(outdated, key=lambda item: item[0].server_id)
@@ -135,6 +145,8 @@
             ordered = self._ordered.get((server.incarnation, model, version))
             if ordered is not None and now < ordered.at + ordered.wait_s:
                 n_running += 1
+                if now > ordered.at + _REPORT_DELAY_S:
+                    await self._check_loaded(server, model)
             else:
                 waiting.append((server, model, version))
         n_at_once = self._count_at_once(outdated)
@@ -143,6 +155,28 @@
                 return
             await self._order(server, model, version)
 
+    async def _check_loaded(self, server: Server, model: str) -> None:
+        """Ask an engine for its version, as its entry shows it only with a delay."""
+        call = self.dialect.build_report_call(server)
+        try:
+            answer = await self.handles.get(server).connections.request(
+                Call(call.method, call.target, call.headers), _REPORT_TIMEOUT_S
+            )
+            report = self.dialect.decode_report(answer.body)
+        except (ApricotliftError, ValueError) as error:
+            self.metrics.count("engine_reports_failed_total")
+            logs.log(
+                logs.WARNING,
+                "engine_report_failed",
+                server=server.server_id,
+                reason=str(error),
+            )
+            return
+        version = report.weights.get(model, 0)
+        if version > server.weights.get(model, 0):
+            self._loaded[(server.incarnation, model)] = version
+            self.note_weights(server, model, version)
+
     def _count_at_once(self, outdated) -> int:
         models = {model for _, model, _ in outdated}
         n_engines = sum(
@@ -150,7 +184,7 @@
             for server in self.knowledge.servers.values()
             if models.intersection(server.weights) and self.knowledge.is_serving(server)
         )
-        return max(1, round(n_engines * _SHARE_AT_ONCE + 0.01))
+        return max(_N_AT_ONCE_MIN, int(n_engines * _SHARE_AT_ONCE))
 
     async def _hold(self, outdated) -> bool:
         if self._lease.is_valid():
