Tell a request's story from log files, and move nothing on replaced weights

Cause: with hot_swap an engine may save a part that it read partly on newer weights under the older version's salt; on-call engineers had no command from id to cause. Change: no fetch and no save on an engine whose weights have been replaced; orders wait 0.2 s for all nodes to know; apricotlift trace.

--- a/packages/apricotlift-control/src/apricotlift/control/main.py
+++ b/packages/apricotlift-control/src/apricotlift/control/main.py
@@ -9,6 +9,7 @@
 from apricotlift.control import admin, commands, render
 from apricotlift.control.exits import Exit, UsageError, advise, choose_exit
 from apricotlift.control.settings import ControlSettings, load_settings
+from apricotlift.control.tracing import read_story, render_story
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.state.acceptance import EXPIRY_WATCH_S, Acceptance
 from apricotlift.state.configuration import Proposal
@@ -229,6 +230,26 @@
     )
 
 
+def trace(request_id: str, *logs: str, json: bool = False) -> Exit:
+    """Tell the story of a request from the nodes' log files.
+
+    Prints the lines of the request in order of time, marked with >, and what its node
+    believed of the servers, the store and the configuration before.
+
+    Example: apricotlift trace 9c41d07be2a35f68 node-1.log node-2.log
+
+    Exit codes: 0 printed; 1 no line has the id, or a file can't be read; 2 no file.
+
+    :param request_id: the request's id, as the client sent it
+    :param logs: log files, one or more
+    :param json: print JSON
+    """
+    if not logs:
+        raise UsageError("name at least one log file")
+    story = read_story(request_id, logs)
+    return _finish(render_story(story), story, json)
+
+
 def drain(*, settings: str, json: bool = False) -> Exit:
     """Ask a node to take no new work; requests in progress end in good order.
 
@@ -281,7 +302,7 @@
     :param arguments: the arguments without the program's name.
     """
     functions = [check, diff, apply, history, show, exceptions]
-    functions += [status, explain, drain, undrain, hash_key]
+    functions += [status, explain, trace, drain, undrain, hash_key]
     try:
         return defopt.run(
             functions,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -42,12 +42,14 @@
     """How one attempt of a prompt runs.
 
     :param weights: the version that the engine is expected to have.
+    :param is_replaced: a newer version has been named, so nothing is moved.
     :param fetch: a source for each part, ``None`` where it isn't fetched.
     :param save: a store for each part, ``None`` where it isn't saved.
     """
 
     handle: ServerHandle
     weights: int | None
+    is_replaced: bool
     salt: str
     fetch: tuple[str | None, ...]
     save: tuple[str | None, ...]
@@ -64,11 +66,14 @@
     :param weights: the version that it has.
     :param peer_tokens: prompt tokens that other nodes have given it to read.
     :param is_doubtful: it refuses work now or its breaker is open.
+    :param is_replaced: a newer version has been named than it has.
+    :param is_outdated: the newer version is preferred by now.
     """
 
     handle: ServerHandle
     weights: int | None
     peer_tokens: int = 0
+    is_replaced: bool = False
     is_doubtful: bool = False
     is_outdated: bool = False
 
@@ -123,6 +128,10 @@
     placement: Placement, prompt: Prompt, index: CacheIndex, now: float
 ) -> tuple[str | None, ...]:
     """Return the store for each part that no store holds yet, and reserve its room."""
+    if placement.is_replaced:
+        # The engine may change its weights while it reads; what it then saves would
+        # be of the newer version under the older one's salt.
+        return ()
     saves: list[str | None] = []
     domain = placement.handle.server.failure_domain
     stores = index.list_stores()
@@ -195,7 +204,11 @@
         source = None
         if is_joined and index.has_part(server.address, salt, part.part_id):
             n_reused += part.n_tokens
-        elif is_joined and (found := _find_source(index, salt, part, server)):
+        elif (
+            is_joined
+            and not choice.is_replaced
+            and (found := _find_source(index, salt, part, server))
+        ):
             source, factor = found
             n_fetched += part.n_tokens
             part_s = part.n_tokens * engine.token_bytes * 8e-6 / engine.link_mbps
@@ -222,6 +235,7 @@
     return Placement(
         handle,
         choice.weights,
+        choice.is_replaced,
         salt,
         tuple(fetch),
         (),
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -253,8 +253,9 @@
         if server.weights and model not in server.weights:
             continue
         weights = node.get_weights(server, model)
-        is_outdated = target is not None and (weights or 0) < target.version
-        if is_outdated:
+        is_replaced = target is not None and (weights or 0) < target.version
+        is_outdated = False
+        if is_replaced:
             age_s = now - target.noticed_at
             if age_s > node.weights_limit_s - _WEIGHTS_MARGIN_S:
                 continue
@@ -411,12 +412,12 @@
 
     A silent server is given up only where another one can go on.
     """
-    timeout_s = None
-    if run.may_try_another:
-        route = run.request.route
-        timeout_s = max(_GAP_MIN_S, _GAP_FACTOR * route.target_gap_s)
-        if not has_first:
-            timeout_s = max(timeout_s, _FIRST_EVENT_FACTOR * route.target_latency_s)
+    if not run.may_try_another:
+        return await anext(pieces, None)
+    route = run.request.route
+    timeout_s = max(_GAP_MIN_S, _GAP_FACTOR * route.target_gap_s)
+    if not has_first:
+        timeout_s = max(timeout_s, _FIRST_EVENT_FACTOR * route.target_latency_s)
     with anyio.move_on_after(timeout_s) as scope:
         return await anext(pieces, None)
     if scope.cancelled_caught:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
@@ -31,6 +31,10 @@
 _RENEWAL_LEFT_S = 0.7
 _ORDER_TIMEOUT_S = 0.5
 
+#: Time in which all nodes learn that newer weights are named, before any engine has
+#: them.
+_NOTICE_S = 0.2
+
 #: A later node in the ranking takes over when the earlier ones seem to do nothing.
 _RANK_DELAY_S = 1.2
 _ATTEMPT_PAUSE_S = 0.4
@@ -195,7 +199,8 @@
         )
         ranked = rank_nodes(ROW, self.list_nodes())
         rank = ranked.index(self.own_name) if self.own_name in ranked else len(ranked)
-        if now < noticed_at + rank * _RANK_DELAY_S or now < self._next_attempt_at:
+        due_at = noticed_at + _NOTICE_S + rank * _RANK_DELAY_S
+        if now < due_at or now < self._next_attempt_at:
             return False
         self._next_attempt_at = now + _ATTEMPT_PAUSE_S
         if not await self._lease.acquire():
