--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -168,3 +168,14 @@
     # Guards against failures that the logs don't explain (docs/OPERATIONS.md).
     When a client posts "/orders/a" with the script "cut" to "n1"
     Then the log of "n1" tells for its id the server, the code "stream_broken" and the status 502
+
+  Scenario: A refusal's reason stands in the log
+    # Guards against refusals that the logs don't explain (docs/OPERATIONS.md).
+    When a client posts "/orders/a" with the script "shed" to "n1"
+    Then the log of "n1" tells for its id the code "upstream_full" with "ran" "no"
+
+  Scenario: A broken stream's last event stands in the log
+    # Guards against streams whose end the logs don't explain (docs/OPERATIONS.md).
+    When a client posts "/short/a" with the script "torn:3,stream:6" to "n1"
+    Then the log of "n1" tells for its id the code "stream_broken" with "last_event" "3"
+    And the log of "n1" tells that its answer is incomplete
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -539,3 +539,17 @@
     assert attempt["server"] == failed["server"] and attempt["config_version"] == 5
     assert failed["code"] == code and failed["ran"] == "maybe", failed
     assert ended["status"] == status and ended["code"] == code, ended
+
+
+@then('the log of "{name}" tells for its id the code "{code}" with "{key}" "{value}"')
+def step_failed_with(context, name, code, key, value):
+    node = context.nodes[name]
+    failed = node.wait_for_event("attempt_failed", request_id=context.request_id)
+    assert failed["code"] == code and failed[key] == value, failed
+
+
+@then('the log of "{name}" tells that its answer is incomplete')
+def step_incomplete(context, name):
+    node = context.nodes[name]
+    ended = node.wait_for_event("request_ended", request_id=context.request_id)
+    assert ended["is_complete"] is False and "is_client_gone" not in ended, ended
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -0,0 +1,162 @@
+"""An in-memory table and source of rows, and a dialect that spells rows in JSON."""
+
+import json
+from dataclasses import dataclass, field
+
+from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.forwarding.dialect import (
+    CacheEvents,
+    Dialect,
+    EngineReport,
+    HeaderNames,
+    Instruction,
+    OutgoingCall,
+)
+from apricotlift.forwarding.facts import (
+    Configuration,
+    NamedWeights,
+    Route,
+    Server,
+    ServerState,
+)
+from apricotlift.forwarding.feeds import RowSet, StoredRow
+from apricotlift.platform.table import Put, Row
+
+NAMES = HeaderNames(
+    *(
+        f"x-{name}"
+        for name in (
+            "id",
+            "deadline",
+            "key",
+            "account",
+            "target",
+            "answering",
+            "stamp",
+            "not-run",
+            "last-event",
+            "priority",
+            "weights",
+            "salt",
+            "fetch",
+            "save",
+        )
+    )
+)
+
+
+@dataclass
+class Clock:
+    """A clock that a test moves."""
+
+    now: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@dataclass
+class MemoryTable:
+    """The table interface, with conditions and switchable failures.
+
+    :param fails: ``no``: refused; ``maybe``: applied, and the answer lost.
+    """
+
+    rows: dict[tuple[str, str], dict] = field(default_factory=dict)
+    fails: str = ""
+    n_writes: int = 0
+
+    async def get(self, pk, sk):
+        if self.fails == "no":
+            raise ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
+        values = self.rows.get((pk, sk))
+        return None if values is None else Row(pk, sk, dict(values))
+
+    async def transact(self, writes, token=""):
+        if self.fails == "no":
+            raise ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
+        for number, write in enumerate(writes):
+            place = get_place(write)
+            found = self.rows.get(place)
+            condition = write.condition
+            is_met = condition.exists in (None, found is not None)
+            is_met &= all((found or {}).get(k) == v for k, v in condition.equals)
+            if not is_met:
+                details = {"failed": [number]}
+                raise ApricotliftError(Code.CONDITION_FAILED, "", details=details)
+        for write in writes:
+            self.n_writes += 1
+            if isinstance(write, Put):
+                self.rows[get_place(write)] = dict(write.row.values)
+            else:
+                self.rows.pop(get_place(write), None)
+        if self.fails == "maybe":
+            raise ApricotliftError(Code.TABLE_UNCLEAR, "answer lost", Ran.MAYBE)
+
+
+def get_place(write):
+    if isinstance(write, Put):
+        return write.row.pk, write.row.sk
+    return write.pk, write.sk
+
+
+def encode(value) -> bytes:
+    return json.dumps(value).encode()
+
+
+def build_row(key, value, version=1) -> StoredRow:
+    return StoredRow(key, None if value is None else encode(value), version)
+
+
+def build_rows(*rows, version=1) -> RowSet:
+    return RowSet(tuple(build_row(key, value) for key, value in rows), version)
+
+
+def decode_instruction(key, value):
+    data = json.loads(value)
+    if key == "config":
+        routes = tuple(
+            Route(prefix, host, prefix, False, True, False, (("svc", 1.0),))
+            for host, prefix in data.get("routes", [])
+        )
+        return Instruction(configuration=Configuration(data["version"], routes))
+    if key.startswith("weights"):
+        return Instruction(weights=NamedWeights(data["model"], data["version"]))
+    return None
+
+
+def decode_server(key, value):
+    data = json.loads(value)
+    if "service" not in data:
+        raise ValueError("no service")
+    state = ServerState(data.get("state", "serving"))
+    return Server(
+        key,
+        data["service"],
+        data.get("address", f"10.0.0.{len(key)}:80"),
+        data.get("domain", "z1"),
+        state,
+        weights=data.get("weights", {}),
+    )
+
+
+def build_dialect(**changes) -> Dialect:
+    values = {
+        "headers": NAMES,
+        "operator_table": "operator",
+        "servers_table": "servers",
+        "decode_instruction": decode_instruction,
+        "decode_server": decode_server,
+        "decode_prompt": lambda headers: None,
+        "build_order": lambda server, order: OutgoingCall(
+            "POST", "/order", (), encode([server.server_id, order.version, order.fence])
+        ),
+        "build_report_call": lambda server: OutgoingCall("GET", "/report"),
+        "decode_report": lambda body: EngineReport(json.loads(body), False),
+        "build_events_call": lambda since, wait_ms: OutgoingCall("GET", "/events"),
+        "decode_events": lambda body: CacheEvents(1, 1, False, ()),
+        "build_free_call": lambda boot, parts: OutgoingCall("POST", "/free"),
+        "read_directory_query": lambda query: "",
+        "build_directory_body": lambda addresses, ttl_s: b"",
+    }
+    return Dialect(**{**values, **changes})
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/knowledge_steps.py
@@ -0,0 +1,198 @@
+import anyio
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.feeds import Feed, RowSet, StoredRow
+from apricotlift.forwarding.knowledge import Knowledge
+from apricotlift.forwarding.tests.forwarding_fakes import (
+    Clock,
+    build_dialect,
+    build_row,
+    build_rows,
+)
+from behave import given, then, when
+
+
+@given("an empty knowledge")
+def step_empty(context):
+    context.clock = Clock()
+    context.knowledge = Knowledge(build_dialect(), None, Metrics(), context.clock)
+
+
+@given('a knowledge with the servers "{names}"')
+def step_servers(context, names):
+    step_empty(context)
+    rows = [(name, {"service": "svc"}) for name in names.split(", ")]
+    context.knowledge._apply_servers(build_rows(*rows), True)
+
+
+@given('a knowledge with the routes "{routes}"')
+def step_routes(context, routes):
+    step_empty(context)
+    pairs = [item.split(":") for item in routes.split(", ")]
+    rows = build_rows(("config", {"version": 1, "routes": pairs}))
+    context.knowledge._apply_operator(rows, True)
+
+
+@when(
+    "the operator's rows say configuration {first:d} and then configuration {second:d}"
+)
+def step_two(context, first, second):
+    for version in (first, second):
+        rows = build_rows(("config", {"version": version}))
+        context.knowledge._apply_operator(rows, True)
+
+
+@when("the operator's rows are broken beside configuration {version:d}")
+def step_broken(context, version):
+    rows = (
+        StoredRow("weights/m", b"\xff", 1),
+        build_row("config", {"version": version}),
+    )
+    context.knowledge._apply_operator(RowSet(rows, 1), True)
+
+
+@when('the servers\' rows have "{good}" and a broken "{bad}"')
+def step_servers_broken(context, good, bad):
+    rows = (StoredRow(bad, b"{", 1), build_row(good, {"service": "svc"}))
+    context.knowledge._apply_servers(RowSet(rows, 1), True)
+
+
+@when('the entry of "{name}" becomes unreadable')
+def step_unreadable(context, name):
+    context.knowledge._apply_servers(RowSet((StoredRow(name, b"[]", 2),), 2), False)
+
+
+@when('{seconds:d} seconds pass and the entry of "{name}" goes')
+def step_goes(context, seconds, name):
+    context.clock.now += seconds
+    context.knowledge._apply_servers(build_rows((name, None)), False)
+
+
+@when("the store was away and all entries have lapsed")
+def step_lapsed(context):
+    feed = context.knowledge.servers_feed
+    feed._note_loss(ApricotliftError(Code.TABLE_UNAVAILABLE, "refused"))
+    context.clock.now += 5
+    feed._note_answer()
+    context.knowledge._apply_servers(build_rows(), True)
+
+
+@when('the entry of "{name}" comes back and {seconds:d} seconds pass')
+def step_back(context, name, seconds):
+    context.knowledge._apply_servers(build_rows((name, {"service": "svc"})), False)
+    context.clock.now += seconds
+
+
+@when('the entry of "{name}" says draining')
+def step_draining(context, name):
+    row = (name, {"service": "svc", "state": "draining"})
+    context.knowledge._apply_servers(build_rows(row), False)
+
+
+@then("configuration {version:d} is in force")
+def step_in_force(context, version):
+    assert context.knowledge.configuration.version == version
+
+
+@then('the servers are "{names}"')
+def step_are(context, names):
+    found = [server.server_id for server in context.knowledge.list_servers("svc")]
+    assert sorted(found) == names.split(", "), found
+
+
+@then('"{host}" "{path}" has the route "{name}"')
+def step_route(context, host, path, name):
+    route = context.knowledge.find_route(host, path)
+    assert (route.name if route else "none") == name, route
+
+
+class Source:
+    """A table with a history that can be dropped, and outages."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.kept_from = 0
+        self.is_away = False
+
+    def put(self, key):
+        self.version += 1
+        self.rows[key] = self.version
+
+    async def read_table(self, table):
+        self._check()
+        rows = [StoredRow(key, b"", version) for key, version in self.rows.items()]
+        return RowSet(tuple(rows), self.version)
+
+    async def wait_for_changes(self, table, after, wait_s):
+        for _ in range(20):
+            self._check()
+            if after < self.kept_from:
+                raise ApricotliftError(Code.HISTORY_LOST, "dropped")
+            changed = {k: v for k, v in self.rows.items() if v > after}
+            if changed:
+                rows = [StoredRow(key, b"", v) for key, v in changed.items()]
+                return RowSet(tuple(rows), self.version)
+            await anyio.sleep(0.01)
+        return RowSet((), self.version)
+
+    def _check(self):
+        if self.is_away:
+            raise ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
+
+
+@given('a store with the row "{key}"')
+def step_store(context, key):
+    context.source = Source()
+    context.source.put(key)
+
+
+@when("a feed follows it")
+def step_feed(context):
+    context.script = []
+
+
+@when('the store drops its history and gets the row "{key}"')
+def step_drop(context, key):
+    def drop():
+        context.source.version += 5
+        context.source.put(key)
+        context.source.kept_from = context.source.version
+
+    context.script.append([drop])
+
+
+@when('the store is away for a while and gets the row "{key}"')
+def step_away(context, key):
+    def leave():
+        context.source.is_away = True
+        context.source.put(key)
+
+    def come_back():
+        context.source.is_away = False
+
+    context.script.append([leave, come_back])
+
+
+@then('the feed has the rows "{keys}"')
+def step_feed_rows(context, keys):
+    found = set()
+
+    async def run():
+        def apply(rows, is_whole):
+            found.update(row.key for row in rows.rows)
+
+        feed = Feed(context.source, "t", apply, Metrics())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.run)
+            for steps in context.script:
+                for step in steps:
+                    await anyio.sleep(0.1)
+                    step()
+            with anyio.move_on_after(5):
+                while found != set(keys.split(", ")):
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert found == set(keys.split(", ")), found
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -0,0 +1,222 @@
+import json
+from dataclasses import dataclass, field, replace
+
+import anyio
+from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.facts import Server
+from apricotlift.forwarding.knowledge import Knowledge
+from apricotlift.forwarding.tests.forwarding_fakes import (
+    Clock,
+    MemoryTable,
+    build_dialect,
+)
+from apricotlift.forwarding.weights import WeightOrders
+from apricotlift.upstreams.pool import Response
+from behave import given, then, when
+
+_LOAD_S = 0.6
+_STEP_S = 0.1
+
+
+@dataclass
+class World:
+    """Engines that load for some time, and the nodes that order them."""
+
+    clock: Clock = field(default_factory=Clock)
+    table: MemoryTable = field(default_factory=MemoryTable)
+    loaded: dict = field(default_factory=dict)
+    loading: dict = field(default_factory=dict)
+    orders: list = field(default_factory=list)
+    nodes: dict = field(default_factory=dict)
+    is_first_lost: bool = False
+    load_s: float = _LOAD_S
+    n_loading_max: int = 0
+
+    def settle(self):
+        """Finish loads and show every node the entries."""
+        for name, (version, until) in list(self.loading.items()):
+            if self.clock() >= until:
+                self.loaded[name] = version
+                del self.loading[name]
+        for orders in self.nodes.values():
+            servers = orders.knowledge.servers
+            for name, server in servers.items():
+                servers[name] = replace(server, weights={"m": self.loaded[name]})
+            orders.knowledge._by_service = None
+
+
+@dataclass
+class Connections:
+    """Carries one node's calls to one engine."""
+
+    world: World
+    node: str
+    server: Server
+
+    async def request(self, call, timeout_s, max_bytes=0):
+        world = self.world
+        name = self.server.server_id
+        if call.target == "/report":
+            return Response(200, {}, json.dumps({"m": world.loaded[name]}).encode())
+        _, version, fence = json.loads(call.body)
+        world.orders.append((world.clock(), self.node, name, version, fence))
+        if world.is_first_lost and len(world.orders) == 1:
+            raise ApricotliftError(Code.UPSTREAM_TIMEOUT, "lost", Ran.MAYBE)
+        world.loading[name] = (version, world.clock() + world.load_s)
+        world.n_loading_max = max(world.n_loading_max, len(world.loading))
+        return Response(202, {}, b"")
+
+
+@dataclass
+class Handles:
+    world: World
+    node: str
+
+    def get(self, server):
+        handle = type("Handle", (), {})()
+        handle.connections = Connections(self.world, self.node, server)
+        return handle
+
+
+class SwitchedTable:
+    """A node's way to the table, which can be cut."""
+
+    def __init__(self, table):
+        self.table = table
+        self.is_cut = False
+
+    async def get(self, pk, sk):
+        self._check()
+        return await self.table.get(pk, sk)
+
+    async def transact(self, writes, token=""):
+        self._check()
+        await self.table.transact(writes, token)
+
+    def _check(self):
+        if self.is_cut:
+            raise ApricotliftError(Code.TABLE_UNAVAILABLE, "cut off")
+
+
+@given('{n:d} engines on version 1 and the nodes "{nodes}"')
+def step_world(context, n, nodes):
+    world = context.world = World()
+    names = nodes.split(", ")
+    for name in names:
+        knowledge = Knowledge(build_dialect(), None, Metrics(), world.clock)
+        for number in range(n):
+            server = Server(f"e{number}", "svc", f"10.0.0.{number}:80", "z1")
+            knowledge.servers[server.server_id] = server
+            world.loaded[server.server_id] = 1
+        world.nodes[name] = WeightOrders(
+            name,
+            build_dialect(),
+            knowledge,
+            Handles(world, name),
+            lambda server, model, version: None,
+            SwitchedTable(world.table),
+            lambda: names,
+            3.0,
+            Metrics(),
+            world.clock,
+        )
+    world.settle()
+
+
+@given("an engine loads in {seconds:g} seconds")
+def step_load_time(context, seconds):
+    context.world.load_s = seconds
+
+
+@given("the first order's answer is lost and it isn't carried out")
+def step_lost(context):
+    context.world.is_first_lost = True
+
+
+def name_version(world, version):
+    for orders in world.nodes.values():
+        orders.knowledge._apply_weights("m", version)
+
+
+async def advance(world, seconds, awake=None):
+    for _ in range(int(seconds / _STEP_S)):
+        world.clock.now += _STEP_S
+        world.settle()
+        for name, orders in world.nodes.items():
+            if awake is None or name in awake:
+                try:
+                    await orders._step()
+                except ApricotliftError:
+                    continue
+
+
+async def advance_to_first_order(world):
+    for _ in range(200):
+        await advance(world, _STEP_S)
+        if world.orders:
+            return world.orders[0][1]
+    raise AssertionError("no order was sent")
+
+
+@when("version {version:d} is named and time passes")
+def step_name(context, version):
+    name_version(context.world, version)
+    anyio.run(advance, context.world, 30)
+
+
+@when("version {version:d} is named, the first holder orders once and loses the store")
+def step_name_cut(context, version):
+    name_version(context.world, version)
+    holder = anyio.run(advance_to_first_order, context.world)
+    context.world.nodes[holder].table.is_cut = True
+
+
+@when("time passes")
+def step_time(context):
+    anyio.run(advance, context.world, 30)
+
+
+@when(
+    "version {version:d} is named, the first holder orders once and sleeps for "
+    "{seconds:d} seconds"
+)
+def step_name_sleep(context, version, seconds):
+    world = context.world
+    name_version(world, version)
+    holder = anyio.run(advance_to_first_order, world)
+    others = [name for name in world.nodes if name != holder]
+    anyio.run(advance, world, seconds, others)
+    anyio.run(advance, world, 10)
+
+
+@then("every engine was ordered to version {version:d}")
+def step_ordered(context, version):
+    assert set(context.world.loaded.values()) == {version}, context.world.loaded
+
+
+@then("never more than {n:d} engines loaded at once")
+def step_at_once(context, n):
+    assert context.world.n_loading_max <= n, context.world.n_loading_max
+
+
+@then("all orders had one holder")
+def step_one(context):
+    assert len({order[1] for order in context.world.orders}) == 1
+
+
+@then("orders of two holders are at least {seconds:d} seconds apart")
+def step_apart(context, seconds):
+    orders = context.world.orders
+    for before, after in zip(orders, orders[1:], strict=False):
+        if before[1] != after[1]:
+            assert after[0] - before[0] >= seconds, (before, after)
+
+
+@then("the second holder has a higher fencing number")
+def step_fence(context):
+    fences = {}
+    for _, node, _, _, fence in context.world.orders:
+        fences.setdefault(node, set()).add(fence)
+    first, second = fences.values()
+    assert max(first) < min(second), fences
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -54,6 +54,7 @@
     """Put this checkout's packages before installed ones."""
     sources = [str(path) for path in sorted(ROOT.glob("packages/*/src"))]
     environment = dict(os.environ)
+    sources.append(str(ROOT / "platform"))
     environment["PYTHONPATH"] = os.pathsep.join([*sources, str(ROOT)])
     environment["PYTHONDONTWRITEBYTECODE"] = "1"
     return environment
@@ -62,7 +63,7 @@
 def find_feature_folders() -> list[Path]:
     """Return each folder that holds feature files and steps."""
     folders = sorted(ROOT.glob("packages/*/src/apricotlift/*/tests"))
-    folders.append(ROOT / "features")
+    folders += [ROOT / "platform" / "tests", ROOT / "features"]
     return [folder for folder in folders if any(folder.rglob("*.feature"))]
 
 
