--- a/packages/apricotlift-core/src/apricotlift/core/logs.py
+++ b/packages/apricotlift-core/src/apricotlift/core/logs.py
@@ -74,6 +74,10 @@
                 return
             del self._backlog[:n_written]
 
+    def close(self) -> None:
+        """Write what the reader still takes; the descriptor stays open."""
+        self.flush()
+
 
 def _build_drop_line(n_dropped: int) -> bytes:
     line = {"level": "warning", "event": "log_lines_dropped", "n_lines": n_dropped}
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -25,6 +25,7 @@
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings, load_settings
+from apricotlift.forwarding.storecare import StoreCare
 from apricotlift.forwarding.suspects import Suspects
 from apricotlift.forwarding.weights import WeightOrders
 from apricotlift.state.membership import Membership
@@ -84,7 +85,16 @@
             settings.bounds.order_lease_ms / 1000,
             metrics,
         )
+        care = StoreCare(
+            settings.node.name,
+            dialect,
+            knowledge,
+            node.index,
+            lambda: list(membership.view.get_eligible()),
+            metrics,
+        )
         for job in (
+            care.run,
             node.suspects.feed.run,
             node.index.run,
             orders.run,
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/storecare_steps.py
@@ -0,0 +1,70 @@
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.cacheindex import CacheIndex, HeldParts, Holder
+from apricotlift.forwarding.facts import Configuration, Server
+from apricotlift.forwarding.knowledge import Knowledge
+from apricotlift.forwarding.placement import build_salt
+from apricotlift.forwarding.storecare import StoreCare
+from apricotlift.forwarding.tests.forwarding_fakes import Clock, build_dialect
+from behave import given, then, when
+
+
+@given(
+    "a store with parts of version {old:d} and of version {new:d}, and engines on "
+    "version {loaded:d}"
+)
+def step_store(context, old, new, loaded):
+    context.clock = Clock()
+    metrics = Metrics()
+    knowledge = Knowledge(build_dialect(), None, metrics, context.clock)
+    knowledge.apply_configuration(Configuration(1))
+    knowledge._apply_weights("m", new)
+    for name in ("a", "b"):
+        server = Server(name, "svc", "10.0.0.1:80", "z", weights={"m": loaded})
+        knowledge.servers[name] = server
+    index = CacheIndex("n", build_dialect(), list, lambda: ["n"], metrics)
+    context.held = HeldParts(Holder("10.0.1.0:80", "z", 10_000, 8, True), boot=1)
+    for version in (old, new):
+        context.held.set_tokens((build_salt("m", version, None), "p"), 100)
+    context.knowledge = knowledge
+    context.care = StoreCare(
+        "n",
+        build_dialect(),
+        knowledge,
+        index,
+        lambda: ["n"],
+        metrics,
+        context.clock,
+    )
+
+
+@given("one engine is still on version {version:d}")
+def step_engine(context, version):
+    server = Server("a", "svc", "10.0.0.1:80", "z", weights={"m": version})
+    context.knowledge.servers["a"] = server
+
+
+@when("the care looks, {seconds:d} seconds pass and it looks again")
+def step_look(context, seconds):
+    assert not context.care.list_unused(context.held)
+    context.clock.now += seconds
+    context.found = context.care.list_unused(context.held)
+
+
+@when("the care looks, the store restarts, {seconds:d} seconds pass and it looks again")
+def step_restart(context, seconds):
+    context.care.list_unused(context.held)
+    context.clock.now += 5
+    context.held.boot = 2
+    context.care.list_unused(context.held)
+    context.clock.now += seconds
+    context.found = context.care.list_unused(context.held)
+
+
+@then("it frees the parts of version {version:d} only")
+def step_frees(context, version):
+    assert context.found == [(build_salt("m", version, None), "p")], context.found
+
+
+@then("it frees nothing")
+def step_nothing(context):
+    assert not context.found, context.found
