Tell peers which parts an engine reads, and take over orders sooner

Ruled out: reports of engines, since entries change within 0.6 s of an order. Change: PlacementNote names the parts under way; the lease lasts 0.8 s and all nodes watch it from the start; engines that are ordered first get no new work; reports gone.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
@@ -81,18 +81,6 @@
     fence: int
 
 
-@dataclass(frozen=True)
-class EngineReport:
-    """What an engine says of itself, some hundred milliseconds late.
-
-    :param weights: loaded version by model.
-    :param is_loading: whether an order is being carried out.
-    """
-
-    weights: dict[str, int]
-    is_loading: bool
-
-
 @dataclass(frozen=True)
 class OutgoingCall:
     """A call to a server besides clients' requests."""
@@ -136,8 +124,6 @@
     decode_server: Callable[[str, bytes], Server | None]
     decode_prompt: Callable[[dict[str, str]], Prompt | None]
     build_order: Callable[[Server, WeightOrder], OutgoingCall]
-    build_report_call: Callable[[Server], OutgoingCall]
-    decode_report: Callable[[bytes], EngineReport]
     build_events_call: Callable[[int, int], OutgoingCall]
     decode_events: Callable[[bytes], CacheEvents]
     build_free_call: Callable[[int, list[tuple[str, str]]], OutgoingCall]
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/knowledge.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/knowledge.py
@@ -100,6 +100,23 @@
             and known.incarnation == server.incarnation
         )
 
+    def list_outdated(self) -> list[tuple[Server, str, int]]:
+        """Return engines that lack named weights, with the model and the version.
+
+        All nodes list them in the same order, which is that of the orders.
+        """
+        if not self.targets:
+            return []
+        outdated = []
+        for server in self.servers.values():
+            if not self.is_serving(server):
+                continue
+            for model, loaded in server.weights.items():
+                target = self.targets.get(model)
+                if target is not None and loaded < target.version:
+                    outdated.append((server, model, target.version))
+        return sorted(outdated, key=lambda item: item[0].server_id)
+
     def apply_configuration(self, configuration: Configuration) -> bool:
         """Take over a configuration unless it is older than the one in force."""
         current = self.configuration
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/peerloads.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/peerloads.py
@@ -1,8 +1,9 @@
-"""What the other nodes have sent to each engine, so that nodes don't crowd one.
+"""What the other nodes have sent to each engine.
 
-Engines report their load late and only when asked. Each node therefore tells the
-others of the prompt tokens that it gives an engine to read, and again when they are
-read. A note that is lost does no lasting harm, because each entry ends by itself.
+Engines report their load late and only when asked, and their cache events come after a
+part was read. Each node therefore tells the others what it gives an engine to read, so
+that nodes neither crowd one engine nor read the same part at several, and again when
+it is read. A note that is lost does no lasting harm: each entry ends by itself.
 """
 
 from collections import defaultdict, deque
@@ -14,7 +15,7 @@
 from apricotlift.state.view import MembershipView
 from apricotlift.wire.connections import PeerPool
 from apricotlift.wire.handshake import Identity
-from apricotlift.wire.messages import LoadNote
+from apricotlift.wire.messages import PlacementNote
 
 #: With more nodes, each one's part of the load is small and notes to all cost more.
 MAX_NODES = 24
@@ -24,9 +25,13 @@
 
 @dataclass
 class PeerLoads:
-    """Prompt tokens that peers have under way, by server."""
+    """Prompt tokens that peers have under way, by server.
+
+    :param expect_part: receives address, salt and part of what an engine will hold.
+    """
 
     view: MembershipView
+    expect_part: Callable[[str, str, str], None]
     peers: PeerPool
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
@@ -44,33 +49,28 @@
             total += sum(n_tokens for _, n_tokens in entries)
         return total
 
-    def tell_started(self, server_id: str, n_tokens: int) -> None:
-        """Tell the other nodes of a prompt that was sent to a server."""
-        self._tell(LoadNote(server_id, 1, 0, n_tokens))
-
-    def tell_read(self, server_id: str, n_tokens: int) -> None:
-        """Tell the other nodes that a prompt has been read, or was given up."""
-        self._tell(LoadNote(server_id, 0, 1, n_tokens))
+    def tell(self, note: PlacementNote) -> None:
+        """Tell the other nodes what a server was given, or has read."""
+        members = self.view.get_serving()
+        if len(members) > MAX_NODES:
+            return
+        for member in members:
+            if member.node_id != self.view.own.node_id:
+                self.peers.send(member.peer_address, note)
 
-    async def handle_note(self, note: LoadNote, peer: Identity) -> None:
+    async def handle_note(self, note: PlacementNote, peer: Identity) -> None:
         """Take over a peer's note."""
-        entries = self._entries[note.upstream][peer.node_id]
-        if note.n_started:
-            entries.append((self.clock() + _KEPT_S, note.prompt_tokens))
+        entries = self._entries[note.server][peer.node_id]
+        if not note.is_read:
+            entries.append((self.clock() + _KEPT_S, note.n_tokens))
+            for part in note.parts:
+                self.expect_part(note.address, note.salt, part)
             return
         for entry in entries:
-            if entry[1] == note.prompt_tokens:
+            if entry[1] == note.n_tokens:
                 entries.remove(entry)
                 return
 
     def forget(self, server_id: str) -> None:
         """Forget a server that is gone."""
         self._entries.pop(server_id, None)
-
-    def _tell(self, note: LoadNote) -> None:
-        members = self.view.get_serving()
-        if len(members) > MAX_NODES:
-            return
-        for member in members:
-            if member.node_id != self.view.own.node_id:
-                self.peers.send(member.peer_address, note)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -22,7 +22,7 @@
 _FETCH_SET_UP_S = 0.006
 
 #: Charges in seconds for a thousand tokens.
-_READ_AGAIN_CHARGE_S = 0.15
+_READ_AGAIN_CHARGE_S = 0.25
 _MOVE_CHARGE_S = 0.012
 
 _DOUBT_COST_S = 5.0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 
 import anyio
 from apricotlift.core import clocks, logs
@@ -31,7 +32,7 @@
 from apricotlift.state.membership import Membership
 from apricotlift.state.view import MemberState
 from apricotlift.wire.connections import PeerPool, PeerServer
-from apricotlift.wire.messages import LoadNote, MemberSummary
+from apricotlift.wire.messages import MemberSummary, PlacementNote
 
 #: A stopping node still takes requests this long, because clients keep its address.
 LINGER_S = 3.0
@@ -67,11 +68,10 @@
         tasks.start_soon(knowledge.servers_feed.run)
         table = store.open_table("apricotlift")
         secret = await read_cluster_secret(table)
-        membership, peer_loads = await _join(
-            stack, settings, table, secret, metrics, sockets
-        )
+        peers = await _join(stack, settings, table, secret, metrics, sockets)
+        membership = peers.membership
         node = _build_runtime(
-            settings, dialect, metrics, tasks, knowledge, store, membership, peer_loads
+            settings, dialect, metrics, tasks, knowledge, store, peers
         )
         stack.push_async_callback(node.handles.close)
         orders = WeightOrders(
@@ -79,7 +79,6 @@
             dialect,
             knowledge,
             node.handles,
-            node.note_weights,
             table,
             lambda: list(membership.view.get_eligible()),
             settings.bounds.order_lease_ms / 1000,
@@ -121,9 +120,18 @@
     return {name: bind(address) for name, address in addresses.items()}
 
 
+@dataclass(frozen=True)
+class _Peers:
+    """What connects this node to the others."""
+
+    membership: Membership
+    pool: PeerPool
+    server: PeerServer
+
+
 async def _join(
     stack: AsyncExitStack, settings, table, secret: bytes, metrics: Metrics, sockets
-) -> tuple[Membership, PeerLoads]:
+) -> "_Peers":
     """Start membership and the listener for other nodes."""
     holder: list[Membership] = []
 
@@ -143,17 +151,17 @@
     membership = Membership(own, table, pool, metrics)
     holder.append(membership)
     membership.register(server)
-    peer_loads = PeerLoads(membership.view, pool, metrics)
-    server.register(LoadNote, peer_loads.handle_note)
     await stack.enter_async_context(pool)
     await stack.enter_async_context(server)
     await stack.enter_async_context(membership)
-    return membership, peer_loads
+    return _Peers(membership, pool, server)
 
 
 def _build_runtime(
-    settings, dialect, metrics, tasks, knowledge, store, membership, peer_loads
+    settings, dialect, metrics, tasks, knowledge, store, peers
 ) -> Runtime:
+    membership = peers.membership
+
     def count_nodes() -> int:
         return len(membership.view.get_eligible())
 
@@ -173,6 +181,8 @@
         lambda: list(membership.view.get_eligible()),
         metrics,
     )
+    peer_loads = PeerLoads(membership.view, index.expect, peers.pool, metrics)
+    peers.server.register(PlacementNote, peer_loads.handle_note)
     bounds = settings.bounds
     return Runtime(
         settings,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -10,7 +10,7 @@
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.attempts import Dispatch, open_attempt
 from apricotlift.forwarding.events import EventSplitter
-from apricotlift.forwarding.facts import ClientRequest, Server, Service
+from apricotlift.forwarding.facts import ClientRequest, Prompt, Server, Service
 from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.placement import (
     EngineChoice,
@@ -31,6 +31,7 @@
 )
 from apricotlift.upstreams.kept import Exchange
 from apricotlift.upstreams.service import HOP_HEADERS
+from apricotlift.wire.messages import PlacementNote
 
 MAX_ANSWER_BYTES = 33_554_432
 
@@ -248,6 +249,7 @@
 ) -> list[EngineChoice]:
     """Return the engines that may run the model, with the version each one has."""
     target = node.knowledge.targets.get(model)
+    next_ones = node.list_next_ordered(model)
     choices = []
     for server in servers:
         if server.weights and model not in server.weights:
@@ -259,7 +261,8 @@
             age_s = now - target.noticed_at
             if age_s > node.weights_limit_s - _WEIGHTS_MARGIN_S:
                 continue
-            is_outdated = age_s > _WEIGHTS_GRACE_S
+            # An engine that is ordered next should have few runs left by then.
+            is_outdated = age_s > _WEIGHTS_GRACE_S or server.server_id in next_ones
         handle = node.handles.get(server)
         is_doubtful = handle.refuses_until > now or not handle.breaker.allows(now)
         n_ahead = node.peer_loads.get_tokens(server.server_id)
@@ -444,18 +447,18 @@
 
     handle: ServerHandle
     peer_loads: PeerLoads
-    n_prefill: int
+    placement: Placement | None
+    prompt: Prompt | None
     started_at: float
     has_first: bool = False
     is_reading: bool = False
 
     def begin_reading(self) -> None:
         """Note that the prompt is being read."""
-        self.is_reading = True
-        self.handle.prefill_tokens += self.n_prefill
-        if self.n_prefill:
-            server_id = self.handle.server.server_id
-            self.peer_loads.tell_started(server_id, self.n_prefill)
+        if self.placement is not None:
+            self.is_reading = True
+            self.handle.prefill_tokens += self.placement.n_read
+            self._tell(is_read=False)
 
     def note_first(self) -> None:
         """Note the first event."""
@@ -468,10 +471,22 @@
         """Note that the prompt has been read, or was given up."""
         if self.is_reading:
             self.is_reading = False
-            self.handle.prefill_tokens -= self.n_prefill
-            if self.n_prefill:
-                server_id = self.handle.server.server_id
-                self.peer_loads.tell_read(server_id, self.n_prefill)
+            self.handle.prefill_tokens -= self.placement.n_read
+            self._tell(is_read=True)
+
+    def _tell(self, is_read: bool) -> None:
+        server = self.handle.server
+        parts = [part.part_id for part in self.prompt.parts[:-1]]
+        self.peer_loads.tell(
+            PlacementNote(
+                server.server_id,
+                server.address,
+                self.placement.n_read,
+                is_read,
+                self.placement.salt,
+                [] if is_read else parts,
+            )
+        )
 
 
 @asynccontextmanager
@@ -480,10 +495,9 @@
 ) -> AsyncIterator[_HeldPlace]:
     """Count an attempt at its server and note how it ends."""
     now = clocks.monotonic()
-    n_prefill = placement.n_read if placement else 0
     prompt = run.request.prompt
     n_running = prompt.n_prompt_tokens + prompt.n_output_tokens if prompt else 0
-    held = _HeldPlace(handle, node.peer_loads, n_prefill, now)
+    held = _HeldPlace(handle, node.peer_loads, placement, prompt, now)
     ticket = handle.breaker.begin(now)
     handle.n_in_flight += 1
     held.begin_reading()
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -17,6 +17,9 @@
 from apricotlift.forwarding.suspects import Suspects
 from apricotlift.state.membership import Membership
 
+#: Engines from which new work is kept as soon as newer weights are named.
+N_FIRST_ORDERED = 2
+
 
 @dataclass
 class Runtime:
@@ -71,6 +74,13 @@
         """Note a version that a server was seen to have before its entry says so."""
         self._weights[(*server.incarnation, model)] = version
 
+    def list_next_ordered(self, model: str) -> list[str]:
+        """Return the engines that are ordered first to load newly named weights."""
+        outdated = self.knowledge.list_outdated()
+        return [server.server_id for server, name, _ in outdated if name == model][
+            :N_FIRST_ORDERED
+        ]
+
     def forget_weights(self, server: Server, model: str) -> None:
         """Go back to what a server's entry says."""
         self._weights.pop((*server.incarnation, model), None)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -7,7 +7,6 @@
 from apricotlift.forwarding.dialect import (
     CacheEvents,
     Dialect,
-    EngineReport,
     HeaderNames,
     Instruction,
     OutgoingCall,
@@ -151,8 +150,6 @@
         "build_order": lambda server, order: OutgoingCall(
             "POST", "/order", (), encode([server.server_id, order.version, order.fence])
         ),
-        "build_report_call": lambda server: OutgoingCall("GET", "/report"),
-        "decode_report": lambda body: EngineReport(json.loads(body), False),
         "build_events_call": lambda since, wait_ms: OutgoingCall("GET", "/events"),
         "decode_events": lambda body: CacheEvents(1, 1, False, ()),
         "build_free_call": lambda boot, parts: OutgoingCall("POST", "/free"),
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -57,8 +57,6 @@
     async def request(self, call, timeout_s, max_bytes=0):
         world = self.world
         name = self.server.server_id
-        if call.target == "/report":
-            return Response(200, {}, json.dumps({"m": world.loaded[name]}).encode())
         _, version, fence = json.loads(call.body)
         world.orders.append((world.clock(), self.node, name, version, fence))
         if world.is_first_lost and len(world.orders) == 1:
@@ -114,7 +112,6 @@
             build_dialect(),
             knowledge,
             Handles(world, name),
-            lambda server, model, version: None,
             SwitchedTable(world.table),
             lambda: names,
             3.0,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
@@ -26,28 +26,24 @@
 ROW = "weights"
 
 _STEP_S = 0.1
-_LEASE_S = 1.5
-_WATCH_MARGIN_S = 0.3
-_RENEWAL_LEFT_S = 0.7
+_LEASE_S = 0.8
+_WATCH_MARGIN_S = 0.2
+_RENEWAL_LEFT_S = 0.4
 _ORDER_TIMEOUT_S = 0.5
 
-#: Time in which all nodes learn that newer weights are named, before any engine has
-#: them.
-_NOTICE_S = 0.2
+#: Time in which all nodes learn that newer weights are named, and the engines that are
+#: ordered first finish some of their runs.
+_NOTICE_S = 0.5
 
-#: A later node in the ranking takes over when the earlier ones seem to do nothing.
-_RANK_DELAY_S = 1.2
-_ATTEMPT_PAUSE_S = 0.4
+#: The first node in the ranking takes the lease; the others watch it from then on.
+_RANK_DELAY_S = 0.12
+_ATTEMPT_PAUSE_S = 0.5
 
 #: An order without an answer may be carried out late; it is repeated after this time.
 _REPEAT_S = 1.0
 #: An accepted order whose effect the entry doesn't show is repeated after this time.
 _ACCEPTED_LIMIT_S = 6.0
 
-#: An accepted order is asked about after this time, at each step.
-_REPORT_DELAY_S = 0.5
-_REPORT_TIMEOUT_S = 0.4
-
 #: Engines of a model that load at the same time: a share, and at least so many.
 _SHARE_AT_ONCE = 0.34
 _N_AT_ONCE_MIN = 2
@@ -68,7 +64,6 @@
 class WeightOrders:
     """The orders of this node.
 
-    :param note_weights: receives a version that an engine was seen to have.
     :param list_nodes: returns the names of the live nodes, this one included.
     """
 
@@ -76,14 +71,12 @@
     dialect: Dialect
     knowledge: Knowledge
     handles: ServerHandles
-    note_weights: Callable[[Server, str, int], None]
     table: object
     list_nodes: Callable[[], list[str]]
     order_lease_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     _ordered: dict[tuple, _Ordered] = field(default_factory=dict)
-    _loaded: dict[tuple, int] = field(default_factory=dict)
     _last_order_at: float = float("-inf")
     _next_attempt_at: float = 0.0
     _lease: TableLease = field(init=False)
@@ -100,20 +93,6 @@
             self.clock,
         )
 
-    def list_outdated(self) -> list[tuple[Server, str, int]]:
-        """Return engines that lack a named version, with the model and the version."""
-        outdated = []
-        for server in self.knowledge.servers.values():
-            if not self.knowledge.is_serving(server):
-                continue
-            for model in server.weights:
-                target = self.knowledge.targets.get(model)
-                loaded = self._loaded.get((server.incarnation, model), 0)
-                loaded = max(loaded, server.weights[model])
-                if target is not None and loaded < target.version:
-                    outdated.append((server, model, target.version))
-        return sorted(outdated, key=lambda item: item[0].server_id)
-
     async def run(self) -> None:
         """Order what has to be ordered, for ever."""
         while True:
@@ -135,7 +114,7 @@
             await self._lease.release()
 
     async def _step(self) -> None:
-        outdated = self.list_outdated()
+        outdated = self.knowledge.list_outdated()
         if not outdated:
             self._ordered.clear()
             await self._end_lease()
@@ -149,8 +128,6 @@
             ordered = self._ordered.get((server.incarnation, model, version))
             if ordered is not None and now < ordered.at + ordered.wait_s:
                 n_running += 1
-                if now > ordered.at + _REPORT_DELAY_S:
-                    await self._check_loaded(server, model)
             else:
                 waiting.append((server, model, version))
         n_at_once = self._count_at_once(outdated)
@@ -159,28 +136,6 @@
                 return
             await self._order(server, model, version)
 
-    async def _check_loaded(self, server: Server, model: str) -> None:
-        """Ask an engine for its version, as its entry shows it only with a delay."""
-        call = self.dialect.build_report_call(server)
-        try:
-            answer = await self.handles.get(server).connections.request(
-                Call(call.method, call.target, call.headers), _REPORT_TIMEOUT_S
-            )
-            report = self.dialect.decode_report(answer.body)
-        except (ApricotliftError, ValueError) as error:
-            self.metrics.count("engine_reports_failed_total")
-            logs.log(
-                logs.WARNING,
-                "engine_report_failed",
-                server=server.server_id,
-                reason=str(error),
-            )
-            return
-        version = report.weights.get(model, 0)
-        if version > server.weights.get(model, 0):
-            self._loaded[(server.incarnation, model)] = version
-            self.note_weights(server, model, version)
-
     def _count_at_once(self, outdated) -> int:
         models = {model for _, model, _ in outdated}
         n_engines = sum(
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -285,6 +285,26 @@
     prompt_tokens: int
 
 
+@dataclass(frozen=True)
+class PlacementNote(Message):
+    """Tells peers of a prompt that an engine was given to read, or has read.
+
+    :param server: id of the engine; :param address: its address.
+    :param n_tokens: prompt tokens that it reads.
+    :param is_read: whether they have been read, or given up.
+    :param salt: what the parts are cached under.
+    :param parts: ids of the shared parts that it will hold.
+    """
+
+    kind: ClassVar[str] = "placement_note"
+    server: str
+    address: str
+    n_tokens: int
+    is_read: bool
+    salt: str
+    parts: list[str]
+
+
 @dataclass(frozen=True)
 class ClaimItem(Record):
     """One claim write of a group commit.
@@ -365,6 +385,7 @@
         FindAttempt,
         FindAttemptReply,
         LoadNote,
+        PlacementNote,
         WriteClaims,
         WriteClaimsReply,
         RenewLease,
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -3,7 +3,7 @@
 Run as ``python -m standins.opaque N``; it serves N addresses. The header ``x-script``
 lists behaviours separated by commas, one for each time that a request id arrives at any
 of the addresses. ``GET /_seen`` returns what arrived. The servers count engines'
-orders and hold weights, and answer ``/report`` and ``/kv-events`` as engines do.
+orders and hold weights, and answer ``/kv-events`` as engines do.
 """
 
 import contextlib
@@ -102,12 +102,6 @@
     elif path == "/_dead":
         farm.dead = set(json.loads(request.body))
         await _send(connection, stream, 200, {}, b"")
-    elif path == "/report":
-        models = [
-            {"name": m, "version": v} for m, v in _get_weights(farm, name).items()
-        ]
-        report = {"models": models, "busy": False}
-        await _send(connection, stream, 200, {}, json.dumps(report).encode())
     elif path == "/kv-events":
         await anyio.sleep(int(request.headers.get("wait-ms", "0")) / 1000)
         events = {"bootEpoch": 1, "next": 1, "lost": False, "events": []}
