Announce weight loads to peers, and read the store before ordering

A positional argument had also put 'doubtful' in the place of 'replaced'. Change: OrderNote to peers; a holder reads both tables after it has the lease; on replaced weights only what a store held before is fetched; choices built by keyword. The scenario 'A holder with old knowledge reads the store before it orders' fails without the reads.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -52,6 +52,7 @@
     """What one holder is known to hold.
 
     :param is_current: whether its events could be read at the last try.
+    :param learned_at: when each part was reported.
     """
 
     holder: Holder
@@ -60,22 +61,27 @@
     is_current: bool = False
     n_tokens: int = 0
     parts: dict[tuple[str, str], int] = field(default_factory=dict)
+    learned_at: dict[tuple[str, str], float] = field(default_factory=dict)
     pending: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
     expected: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def clear(self) -> None:
         """Forget everything."""
         self.parts.clear()
+        self.learned_at.clear()
         self.pending.clear()
         self.expected.clear()
         self.n_tokens = 0
 
-    def set_tokens(self, key: tuple[str, str], n_tokens: int) -> None:
+    def set_tokens(self, key: tuple[str, str], n_tokens: int, now: float) -> None:
         """Note how much of a part is held."""
         self.n_tokens += n_tokens - self.parts.pop(key, 0)
         self.pending.pop(key, None)
         if n_tokens:
             self.parts[key] = n_tokens
+            self.learned_at.setdefault(key, now)
+        else:
+            self.learned_at.pop(key, None)
 
     def count_free(self, now: float) -> int:
         """Return the room that is neither held nor asked for."""
@@ -216,8 +222,9 @@
             return
         held.boot = batch.boot
         held.next_number = batch.next_number
+        now = self._clock()
         for event in batch.events:
-            held.set_tokens((event.salt, event.part_id), event.n_tokens)
+            held.set_tokens((event.salt, event.part_id), event.n_tokens, now)
         if batch.has_gap:
             self._metrics.count("cache_event_gaps_total")
         if not held.is_current:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -116,6 +116,15 @@
                 await anyio.sleep(pause_s * random.uniform(0.7, 1.3))
                 pause_s = min(_MAX_PAUSE_S, pause_s * 2)
 
+    async def refresh(self) -> None:
+        """Read the table now, for a decision that must not rest on older rows.
+
+        :raises ApricotliftError: ``table_unavailable``.
+        """
+        rows = await self._source.read_table(self.table)
+        if rows.version >= self.version:
+            self._apply(rows, True)
+
     async def _load(self) -> None:
         rows = await self._source.read_table(self.table)
         self._note_answer()
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/peerloads.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/peerloads.py
@@ -15,7 +15,7 @@
 from apricotlift.state.view import MembershipView
 from apricotlift.wire.connections import PeerPool
 from apricotlift.wire.handshake import Identity
-from apricotlift.wire.messages import PlacementNote
+from apricotlift.wire.messages import OrderNote, PlacementNote
 
 #: With more nodes, each one's part of the load is small and notes to all cost more.
 MAX_NODES = 24
@@ -28,10 +28,12 @@
     """Prompt tokens that peers have under way, by server.
 
     :param expect_part: receives address, salt and part of what an engine will hold.
+    :param note_loading: receives the id of an engine that loads weights.
     """
 
     view: MembershipView
     expect_part: Callable[[str, str, str], None]
+    note_loading: Callable[[str], None]
     peers: PeerPool
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
@@ -49,8 +51,8 @@
             total += sum(n_tokens for _, n_tokens in entries)
         return total
 
-    def tell(self, note: PlacementNote) -> None:
-        """Tell the other nodes what a server was given, or has read."""
+    def tell(self, note: PlacementNote | OrderNote) -> None:
+        """Tell the other nodes what a server was given, has read, or loads."""
         members = self.view.get_serving()
         if len(members) > MAX_NODES:
             return
@@ -58,6 +60,10 @@
             if member.node_id != self.view.own.node_id:
                 self.peers.send(member.peer_address, note)
 
+    async def handle_order(self, note: OrderNote, peer: Identity) -> None:
+        """Take over that an engine loads weights."""
+        self.note_loading(note.server)
+
     async def handle_note(self, note: PlacementNote, peer: Identity) -> None:
         """Take over a peer's note."""
         entries = self._entries[note.server][peer.node_id]
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -42,7 +42,7 @@
     """How one attempt of a prompt runs.
 
     :param weights: the version that the engine is expected to have.
-    :param is_replaced: a newer version has been named, so nothing is moved.
+    :param is_replaced: a newer version has been named, so nothing is saved.
     :param fetch: a source for each part, ``None`` where it isn't fetched.
     :param save: a store for each part, ``None`` where it isn't saved.
     """
@@ -66,14 +66,14 @@
     :param weights: the version that it has.
     :param peer_tokens: prompt tokens that other nodes have given it to read.
     :param is_doubtful: it refuses work now or its breaker is open.
-    :param is_replaced: a newer version has been named than it has.
+    :param replaced_at: when a newer version was named than it has, if one was.
     :param is_outdated: the newer version is preferred by now.
     """
 
     handle: ServerHandle
     weights: int | None
     peer_tokens: int = 0
-    is_replaced: bool = False
+    replaced_at: float | None = None
     is_doubtful: bool = False
     is_outdated: bool = False
 
@@ -204,11 +204,7 @@
         source = None
         if is_joined and index.has_part(server.address, salt, part.part_id):
             n_reused += part.n_tokens
-        elif (
-            is_joined
-            and not choice.is_replaced
-            and (found := _find_source(index, salt, part, server))
-        ):
+        elif is_joined and (found := _find_source(index, salt, part, choice)):
             source, factor = found
             n_fetched += part.n_tokens
             part_s = part.n_tokens * engine.token_bytes * 8e-6 / engine.link_mbps
@@ -235,7 +231,7 @@
     return Placement(
         handle,
         choice.weights,
-        choice.is_replaced,
+        choice.replaced_at is not None,
         salt,
         tuple(fetch),
         (),
@@ -246,12 +242,25 @@
     )
 
 
-def _find_source(index, salt, part, server) -> tuple[str, float] | None:
-    """Return the nearest holder of a whole part and how much longer it takes."""
+def _find_source(
+    index: CacheIndex, salt: str, part: PromptPart, choice: EngineChoice
+) -> tuple[str, float] | None:
+    """Return the nearest holder of a whole part and how much longer it takes.
+
+    Once newer weights are named, an engine may change them while it reads, and what
+    it then keeps or saves isn't what its salt says. Only what a store held before is
+    certain.
+    """
+    server = choice.handle.server
     best = None
     for held, n_tokens in index.find_holders(salt, part.part_id):
         if n_tokens < part.n_tokens or held.holder.address == server.address:
             continue
+        if choice.replaced_at is not None and not (
+            held.holder.is_store
+            and held.learned_at[(salt, part.part_id)] < choice.replaced_at
+        ):
+            continue
         factor = 1.0
         if held.holder.failure_domain != server.failure_domain:
             factor = _OTHER_DOMAIN_FACTOR
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -13,6 +13,7 @@
 from apricotlift.forwarding.cacheindex import CacheIndex, Holder
 from apricotlift.forwarding.clustersecret import read_cluster_secret
 from apricotlift.forwarding.dialect import Dialect
+from apricotlift.forwarding.facts import Server
 from apricotlift.forwarding.feeds import RowSource
 from apricotlift.forwarding.front import (
     build_directory_app,
@@ -32,7 +33,7 @@
 from apricotlift.state.membership import Membership
 from apricotlift.state.view import MemberState
 from apricotlift.wire.connections import PeerPool, PeerServer
-from apricotlift.wire.messages import MemberSummary, PlacementNote
+from apricotlift.wire.messages import MemberSummary, OrderNote, PlacementNote
 
 #: A stopping node still takes requests this long, because clients keep its address.
 LINGER_S = 3.0
@@ -81,6 +82,7 @@
             node.handles,
             table,
             lambda: list(membership.view.get_eligible()),
+            lambda server: _announce_load(node, server),
             settings.bounds.order_lease_ms / 1000,
             metrics,
         )
@@ -181,8 +183,18 @@
         lambda: list(membership.view.get_eligible()),
         metrics,
     )
-    peer_loads = PeerLoads(membership.view, index.expect, peers.pool, metrics)
+    handles = ServerHandles(metrics, get_n_connections)
+
+    def note_loading(server_id: str) -> None:
+        server = knowledge.servers.get(server_id)
+        if server is not None:
+            handles.note_loading(server)
+
+    peer_loads = PeerLoads(
+        membership.view, index.expect, note_loading, peers.pool, metrics
+    )
     peers.server.register(PlacementNote, peer_loads.handle_note)
+    peers.server.register(OrderNote, peer_loads.handle_order)
     bounds = settings.bounds
     return Runtime(
         settings,
@@ -190,7 +202,7 @@
         metrics,
         tasks,
         knowledge,
-        ServerHandles(metrics, get_n_connections),
+        handles,
         RetryBudgets(bounds.retry_share, bounds.n_retries, count_nodes),
         Suspects(store.open_table("apricotlift-suspects"), store, metrics),
         index,
@@ -199,6 +211,11 @@
     )
 
 
+def _announce_load(node: Runtime, server: Server) -> None:
+    node.handles.note_loading(server)
+    node.peer_loads.tell(OrderNote(server.server_id))
+
+
 def _list_holders(knowledge: Knowledge) -> list[Holder]:
     configuration = knowledge.configuration
     if configuration is None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -21,7 +21,11 @@
     place,
 )
 from apricotlift.forwarding.runtime import Runtime
-from apricotlift.forwarding.servers import ServerHandle, choose_server
+from apricotlift.forwarding.servers import (
+    LOAD_REFUSAL_S,
+    ServerHandle,
+    choose_server,
+)
 from apricotlift.forwarding.suspects import build_fingerprint
 from apricotlift.policy.retries import (
     FailedAttempt,
@@ -50,7 +54,6 @@
 
 _RETRY_AFTER_S = 0.3
 _REFUSAL_S = 0.25
-_SWAP_REFUSAL_S = 0.4
 
 #: Engines that lack the named weights are left out this long before the bound.
 _WEIGHTS_MARGIN_S = 1.0
@@ -257,7 +260,9 @@
         weights = node.get_weights(server, model)
         is_replaced = target is not None and (weights or 0) < target.version
         is_outdated = False
+        replaced_at = None
         if is_replaced:
+            replaced_at = target.noticed_at
             age_s = now - target.noticed_at
             if age_s > node.weights_limit_s - _WEIGHTS_MARGIN_S:
                 continue
@@ -266,7 +271,16 @@
         handle = node.handles.get(server)
         is_doubtful = handle.refuses_until > now or not handle.breaker.allows(now)
         n_ahead = node.peer_loads.get_tokens(server.server_id)
-        choices.append(EngineChoice(handle, weights, n_ahead, is_doubtful, is_outdated))
+        choices.append(
+            EngineChoice(
+                handle,
+                weights,
+                peer_tokens=n_ahead,
+                replaced_at=replaced_at,
+                is_doubtful=is_doubtful,
+                is_outdated=is_outdated,
+            )
+        )
     return choices
 
 
@@ -563,9 +577,7 @@
         handle.refuses_until = 0.0
         error.details["try_again"] = True
     elif known < target.version:
-        # What it refuses while it loads, it runs on the new weights.
-        node.note_weights(server, model, target.version)
-        handle.refuses_until = now + _SWAP_REFUSAL_S
+        handle.refuses_until = now + LOAD_REFUSAL_S
 
 
 def _log_attempt(
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
@@ -24,6 +24,10 @@
     probe_timeout_s=5.0,
 )
 
+#: An engine that loads weights is left out for this time, unless its entry shows the
+#: new ones sooner.
+LOAD_REFUSAL_S = 1.5
+
 _LATENCY_WEIGHT = 0.2
 _FIRST_LATENCY_S = 0.03
 _FAILURE_WEIGHT = 0.15
@@ -102,9 +106,16 @@
             )
             handle = ServerHandle(server, connections, Breaker(BREAKER_SETTINGS))
             self._handles[server.incarnation] = handle
+        if server.weights != handle.server.weights:
+            # It has loaded what it refused work for.
+            handle.refuses_until = 0.0
         handle.server = server
         return handle
 
+    def note_loading(self, server: Server) -> None:
+        """Leave an engine out while it loads weights."""
+        self.get(server).refuses_until = self.clock() + LOAD_REFUSAL_S
+
     async def sweep(self, keep: Callable[[Server], bool]) -> None:
         """Forget servers that are gone and close connections that are stale."""
         for key, handle in list(self._handles.items()):
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/orders.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/orders.feature
@@ -29,3 +29,10 @@
     Given the first order's answer is lost and it isn't carried out
     When version 2 is named and time passes
     Then every engine was ordered to version 2
+
+  # Guards against: a node that was cut off and brings engines back to replaced weights.
+  Scenario: A holder with old knowledge reads the store before it orders
+    When version 2 is named, "n2" is cut off before any order, and version 3 is named
+    And "n2" reaches the store again and all others end
+    Then no order named an older version than one before
+    And every engine was ordered to version 3
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
@@ -65,6 +65,7 @@
     """The orders of this node.
 
     :param list_nodes: returns the names of the live nodes, this one included.
+    :param announce: tells all nodes that an engine is ordered to load.
     """
 
     own_name: str
@@ -73,6 +74,7 @@
     handles: ServerHandles
     table: object
     list_nodes: Callable[[], list[str]]
+    announce: Callable[[Server], None]
     order_lease_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
@@ -161,7 +163,10 @@
         if not await self._lease.acquire():
             return False
         logs.log(logs.INFO, "order_lease_acquired", fence=self._lease.fence)
-        return True
+        # A node that was cut off would order what another holder has replaced since.
+        await self.knowledge.operator_feed.refresh()
+        await self.knowledge.servers_feed.refresh()
+        return False
 
     async def _renew(self) -> bool:
         if self._lease.is_valid(_RENEWAL_LEFT_S):
@@ -184,6 +189,7 @@
         if not self._lease.is_valid():
             return
         self._last_order_at = self.clock()
+        self.announce(server)
         ordered = self._ordered[key] = _Ordered(self._last_order_at)
         outcome: str
         try:
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -305,6 +305,14 @@
     parts: list[str]
 
 
+@dataclass(frozen=True)
+class OrderNote(Message):
+    """Tells peers that an engine is ordered to load weights, and refuses work now."""
+
+    kind: ClassVar[str] = "order_note"
+    server: str
+
+
 @dataclass(frozen=True)
 class ClaimItem(Record):
     """One claim write of a group commit.
@@ -386,6 +394,7 @@
         FindAttemptReply,
         LoadNote,
         PlacementNote,
+        OrderNote,
         WriteClaims,
         WriteClaimsReply,
         RenewLease,
