--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -21,11 +21,11 @@
 _PAUSE_S = 0.3
 
 #: Events come one by one; a pause between two calls collects them.
-_COLLECT_S = 0.25
+_COLLECT_S = 0.5
 
 #: A part that this node has had an engine read is expected there for this time, until
 #: the engine's own event comes.
-_EXPECTED_S = 2.0
+_EXPECTED_S = 2.5
 
 _MAX_EXPECTED = 500
 
