List outdated engines without changing what is iterated

Change: lapsed entries are dropped before the list is made. The scenario 'Entries lapse while outdated engines are listed' failed before with the same error.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/knowledge.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/knowledge.py
@@ -90,6 +90,15 @@
                     self._by_service.setdefault(server.service, []).append(server)
         return self._by_service.get(service, [])
 
+    def list_all_serving(self) -> list[Server]:
+        """Return the servers of all services that take new work."""
+        self._drop_missing()
+        return [
+            server
+            for server in self.servers.values()
+            if server.state is ServerState.SERVING
+        ]
+
     def is_serving(self, server: Server) -> bool:
         """Return whether this incarnation still takes new work."""
         self._drop_missing()
@@ -108,9 +117,7 @@
         if not self.targets:
             return []
         outdated = []
-        for server in self.servers.values():
-            if not self.is_serving(server):
-                continue
+        for server in self.list_all_serving():
             for model, loaded in server.weights.items():
                 target = self.targets.get(model)
                 if target is not None and loaded < target.version:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/knowledge.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/knowledge.feature
@@ -47,6 +47,14 @@
     When the entry of "a" comes back and 3 seconds pass
     Then the servers are "a"
 
+  # Guards against: a node that ends because entries lapse while it lists servers.
+  Scenario: Entries lapse while outdated engines are listed
+    Given a knowledge with the servers "a, b, c"
+    And the weights of version 2 are named for them
+    When the store was away and all entries have lapsed
+    And 3 seconds pass
+    Then no engine is outdated
+
   # Guards against: a draining server that gets new work.
   Scenario: A draining server takes no new work
     Given a knowledge with the servers "a, b"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/knowledge_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/knowledge_steps.py
@@ -21,7 +21,8 @@
 @given('a knowledge with the servers "{names}"')
 def step_servers(context, names):
     step_empty(context)
-    rows = [(name, {"service": "svc"}) for name in names.split(", ")]
+    entry = {"service": "svc", "weights": {"m": 1}}
+    rows = [(name, entry) for name in names.split(", ")]
     context.knowledge._apply_servers(build_rows(*rows), True)
 
 
@@ -89,6 +90,22 @@
     context.knowledge._apply_servers(build_rows(row), False)
 
 
+@given("the weights of version {version:d} are named for them")
+def step_named(context, version):
+    context.knowledge._apply_weights("m", version)
+    assert len(context.knowledge.list_outdated()) == 3
+
+
+@when("{seconds:d} seconds pass")
+def step_pass(context, seconds):
+    context.clock.now += seconds
+
+
+@then("no engine is outdated")
+def step_not_outdated(context):
+    assert not context.knowledge.list_outdated()
+
+
 @then("configuration {version:d} is in force")
 def step_in_force(context, version):
     assert context.knowledge.configuration.version == version
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weights.py
@@ -142,8 +142,8 @@
         models = {model for _, model, _ in outdated}
         n_engines = sum(
             1
-            for server in self.knowledge.servers.values()
-            if models.intersection(server.weights) and self.knowledge.is_serving(server)
+            for server in self.knowledge.list_all_serving()
+            if models.intersection(server.weights)
         )
         return max(_N_AT_ONCE_MIN, int(n_engines * _SHARE_AT_ONCE))
 
