Name a store as source also for parts that an engine is believed to have

An engine fetches only what it lacks. Change: each shared part that a store holds bears its address. Not yet measured.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -201,19 +201,21 @@
     fetch: list[str | None] = []
     is_joined = True
     for part in prompt.parts[:-1]:
-        source = None
+        found = _find_source(index, salt, part, choice) if is_joined else None
         if is_joined and index.has_part(server.address, salt, part.part_id):
             n_reused += part.n_tokens
-        elif is_joined and (found := _find_source(index, salt, part, choice)):
-            source, factor = found
+            # The engine may have dropped it since; it fetches only what it lacks.
+            fetch.append(found.address if found and found.is_store else None)
+        elif found:
             n_fetched += part.n_tokens
             part_s = part.n_tokens * engine.token_bytes * 8e-6 / engine.link_mbps
-            fetch_s += part_s * factor + _FETCH_SET_UP_S
-            move_s += part.n_tokens * _MOVE_CHARGE_S / 1000 * factor
+            fetch_s += part_s * found.factor + _FETCH_SET_UP_S
+            move_s += part.n_tokens * _MOVE_CHARGE_S / 1000 * found.factor
+            fetch.append(found.address)
         else:
             # An engine reuses a part only where it has all parts before it.
             is_joined = False
-        fetch.append(source)
+            fetch.append(None)
     fetch.append(None)
     n_tokens = max(prompt.n_prompt_tokens, sum(p.n_tokens for p in prompt.parts))
     n_read = max(1, n_tokens - n_reused - n_fetched)
@@ -242,10 +244,22 @@
     )
 
 
+@dataclass(frozen=True)
+class _Source:
+    """Where a part can be fetched.
+
+    :param factor: how much longer it takes than within a failure domain.
+    """
+
+    address: str
+    factor: float
+    is_store: bool
+
+
 def _find_source(
     index: CacheIndex, salt: str, part: PromptPart, choice: EngineChoice
-) -> tuple[str, float] | None:
-    """Return the nearest holder of a whole part and how much longer it takes.
+) -> _Source | None:
+    """Return the nearest holder of a whole part.
 
     Once newer weights are named, an engine may change them while it reads, and what
     it then keeps or saves isn't what its salt says. Only what a store held before is
@@ -267,5 +281,6 @@
         # A store never drops a part on its own, an engine may.
         rank = (factor, not held.holder.is_store)
         if best is None or rank < best[0]:
-            best = (rank, (held.holder.address, factor))
+            source = _Source(held.holder.address, factor, held.holder.is_store)
+            best = (rank, source)
     return best[1] if best else None
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/placement.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/placement.feature
@@ -9,6 +9,14 @@
     When a prompt with the parts "p1, p2, own" is placed
     Then it runs on "b" and reads 100 tokens
 
+  # Guards against: parts that an engine has dropped since it reported them.
+  Scenario: A part that a store has is named as a source even where the engine has it
+    Given "b" holds "p1, p2"
+    And "s" holds "p1"
+    When a prompt with the parts "p1, p2, own" is placed
+    Then it runs on "b" and reads 100 tokens
+    And it fetches "p1"
+
   # Guards against: a queue before one engine while others are idle.
   Scenario: A busy engine loses the prompt, and the parts are fetched
     Given "b" holds "p1, p2"
