--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -54,6 +54,8 @@
 
 _RETRY_AFTER_S = 0.3
 _REFUSAL_S = 0.25
+#: An unreachable server, or one whose address another one has, is left out so long.
+_UNREACHABLE_S = 1.0
 
 #: Engines that lack the named weights are left out this long before the bound.
 _WEIGHTS_MARGIN_S = 1.0
@@ -550,8 +552,12 @@
     now = clocks.monotonic()
     if error.code is Code.STREAM_BROKEN:
         node.tasks.start_soon(node.suspects.examine, run.fingerprint, handle.server)
-    if error.ran is Ran.NO and error.code is not Code.UPSTREAM_CONNECT:
+    if error.code is Code.UPSTREAM_CONNECT:
+        handle.refuses_until = now + _UNREACHABLE_S
+    elif error.ran is Ran.NO:
         handle.refuses_until = now + _REFUSAL_S
+        if error.code is Code.WRONG_SERVER:
+            handle.refuses_until = now + _UNREACHABLE_S
         if placement is not None and run.request.prompt is not None:
             _note_swap(node, handle, run.request.prompt.model, error, now)
         return None
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/peerloads_steps.py
@@ -0,0 +1,90 @@
+from types import SimpleNamespace
+
+import anyio
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.peerloads import PeerLoads
+from apricotlift.forwarding.tests.forwarding_fakes import Clock
+from apricotlift.wire.handshake import Identity
+from apricotlift.wire.messages import OrderNote, PlacementNote
+from behave import given, then, when
+
+
+@given("a node that hears of its peers' placements")
+def step_node(context):
+    context.clock = Clock()
+    context.expected = []
+    context.loading = []
+    context.told = []
+    context.members = []
+    view = SimpleNamespace(
+        own=SimpleNamespace(node_id="n1"), get_serving=lambda: context.members
+    )
+    peers = SimpleNamespace(send=lambda address, note: context.told.append(address))
+    context.loads = PeerLoads(
+        view,
+        lambda *place: context.expected.append(place),
+        context.loading.append,
+        peers,
+        Metrics(),
+        context.clock,
+    )
+
+
+@given("{n:d} nodes")
+def step_nodes(context, n):
+    context.members = [
+        SimpleNamespace(node_id=f"n{number}", peer_address=f"10.0.0.{number}:1")
+        for number in range(n)
+    ]
+
+
+def build_note(server, n, is_read=False):
+    return PlacementNote(server, "10.0.0.1:80", n, is_read, "salt", ["p1"])
+
+
+@when('the peer "{name}" gives "{server}" {n:d} tokens to read')
+def step_gives(context, name, server, n):
+    note = build_note(server, n)
+    anyio.run(context.loads.handle_note, note, Identity(name, "i", "z"))
+
+
+@when('the peer "{name}" says that {n:d} tokens at "{server}" are read')
+def step_read(context, name, n, server):
+    note = build_note(server, n, is_read=True)
+    anyio.run(context.loads.handle_note, note, Identity(name, "i", "z"))
+
+
+@when('the peer "{name}" orders "{server}" to load')
+def step_orders(context, name, server):
+    identity = Identity(name, "i", "z")
+    anyio.run(context.loads.handle_order, OrderNote(server), identity)
+
+
+@when('this node gives "{server}" {n:d} tokens to read')
+def step_own(context, server, n):
+    context.loads.tell(build_note(server, n))
+
+
+@when("{seconds:d} seconds go by")
+def step_pass(context, seconds):
+    context.clock.now += seconds
+
+
+@then('{n:d} tokens are under way at "{server}"')
+def step_under_way(context, n, server):
+    assert context.loads.get_tokens(server) == n, context.loads.get_tokens(server)
+
+
+@then('the part "{part}" is expected at "{server}"')
+def step_expected(context, part, server):
+    assert context.expected == [("10.0.0.1:80", "salt", part)], context.expected
+
+
+@then('"{server}" is left out')
+def step_left_out(context, server):
+    assert context.loading == [server], context.loading
+
+
+@then("nobody is told")
+def step_not_told(context):
+    assert not context.told, context.told
