Serve deployments that lack values, managed stores or sources by part

Change: a setting without a value has its default; one address for all parts where an engine isn't managed; only managed stores are freed; fields that nothing reads are gone. Scenarios for settings and for what nodes tell each other.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -38,13 +38,17 @@
 
 @dataclass(frozen=True)
 class Holder:
-    """An engine or a store whose events are followed."""
+    """An engine or a store whose events are followed.
+
+    :param is_managed: a store that drops nothing by itself.
+    """
 
     address: str
     failure_domain: str
     capacity_tokens: int
     n_event_readers: int
     is_store: bool
+    is_managed: bool = False
 
 
 @dataclass
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from apricotlift.forwarding.facts import (
@@ -129,4 +129,3 @@
     build_free_call: Callable[[int, list[tuple[str, str]]], OutgoingCall]
     read_directory_query: Callable[[dict[str, str]], str]
     build_directory_body: Callable[[list[str], float], bytes]
-    paths: dict[str, str] = field(default_factory=dict)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/facts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/facts.py
@@ -24,6 +24,8 @@
     :param token_bytes: size of one token's KV cache.
     :param link_mbps: rate at which a server fetches and saves cached parts.
     :param n_event_readers: calls for cache events that one server holds at once.
+    :param takes_parts_apart: whether each part may have a source and a store of its
+        own, or all of them one.
     """
 
     n_slots: int = 64
@@ -31,6 +33,7 @@
     token_bytes: int = 163_840
     link_mbps: float = 100_000.0
     n_event_readers: int = 8
+    takes_parts_apart: bool = False
 
 
 @dataclass(frozen=True)
@@ -40,6 +43,7 @@
     :param address: ``IP:PORT``.
     :param capacity_tokens: room in tokens.
     :param n_event_readers: calls for cache events that it holds at once.
+    :param is_managed: it drops nothing by itself; others drop what was used least.
     """
 
     address: str
@@ -47,8 +51,6 @@
     capacity_tokens: int = 0
     n_event_readers: int = 8
     is_managed: bool = False
-    first_byte_s: float = 0.0
-    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -112,7 +114,6 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
@@ -154,7 +155,6 @@
     state: ServerState = ServerState.SERVING
     n_slots: int = 1
     started_ms: int = 0
-    cold_s: float = 0.0
     weights: dict[str, int] = field(default_factory=dict)
 
     @property
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -150,14 +150,23 @@
     return tuple(saves)
 
 
-def format_addresses(addresses: Sequence[str | None]) -> str | None:
-    """Return the header value for one address a part, ``None`` where there is none.
+def format_addresses(
+    addresses: Sequence[str | None], takes_parts_apart: bool
+) -> str | None:
+    """Return the header value for the addresses, ``None`` where there is none.
 
-    >>> format_addresses(["10.0.0.1:80", None])
+    :param takes_parts_apart: whether each part may have an address of its own.
+
+    >>> format_addresses(["10.0.0.1:80", None], takes_parts_apart=True)
     '10.0.0.1:80,-'
+    >>> format_addresses([None, "10.0.0.1:80", None], takes_parts_apart=False)
+    '10.0.0.1:80'
     """
-    if not any(addresses):
+    named = [address for address in addresses if address]
+    if not named:
         return None
+    if not takes_parts_apart:
+        return max(named, key=named.count)
     return ",".join(address or _NO_ADDRESS for address in addresses)
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -43,8 +43,6 @@
 _SETTINGS_POLL_S = 1.0
 _SWEEP_S = 1.0
 
-Tables = Callable[[str, Metrics], object]
-
 
 async def run_node(
     settings_path: str,
@@ -231,6 +229,7 @@
                     store.capacity_tokens,
                     store.n_event_readers,
                     is_store=True,
+                    is_managed=store.is_managed,
                 )
             )
         elif service.engine is not None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -241,9 +241,10 @@
     headers.append((names.priority, str(max(0, min(9, priority)))))
     if placement.weights is not None:
         headers.append((names.expected_weights, str(placement.weights)))
-    if fetch := format_addresses(placement.fetch):
+    is_apart = run.service.engine.takes_parts_apart
+    if fetch := format_addresses(placement.fetch, is_apart):
         headers.append((names.kv_fetch, fetch))
-    if save := format_addresses(saves):
+    if save := format_addresses(saves, is_apart):
         headers.append((names.kv_save, save))
     dispatch = Dispatch(placement.handle, tuple(headers), run.last_event_id)
     return placement, dispatch
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 from random import Random
 
-import anyio
 from anyio.abc import TaskGroup
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.budgets import RetryBudgets
@@ -44,7 +43,6 @@
     is_draining: bool = False
     is_stopping: bool = False
     n_open_requests: int = 0
-    idle: anyio.Event = field(default_factory=anyio.Event)
     _weights: dict[tuple, int] = field(default_factory=dict)
 
     @property
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -1,6 +1,6 @@
 """Settings of a forwarding node: an INI file, checked as a whole."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Annotated
 
@@ -43,7 +43,6 @@
     """``[bounds]``: what the users ask for, in the units of their settings."""
 
     grace_s: Seconds = 8.0
-    drain_ms: Milliseconds = 2000.0
     order_lease_ms: Milliseconds = 3000.0
     weights_ms: Milliseconds = 8000.0
     retry_share: Annotated[float, Field(ge=0)] = 0.2
@@ -83,7 +82,9 @@
             message = f"unknown section; known are {', '.join(_SECTIONS)}"
             findings.add(section.get_place(), "unknown_section", message)
             continue
-        checked = build_section(model, section, findings)
+        # A key without a value stands for a value that the platform doesn't have.
+        present = {key: text for key, text in section.values.items() if text}
+        checked = build_section(model, replace(section, values=present), findings)
         if checked is not None:
             built[section.name] = checked
     if not findings:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecare.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecare.py
@@ -54,6 +54,8 @@
                 continue
             nodes = self.list_nodes()
             for held in self.index.list_stores():
+                if not held.holder.is_managed:
+                    continue
                 if rank_nodes(held.holder.address, nodes)[:1] == [self.own_name]:
                     parts = self.list_unused(held)
                     if parts:
