--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -19,6 +19,7 @@
 POLL_MS = 1000
 _ANSWER_MARGIN_S = 0.7
 _PAUSE_S = 0.3
+_MAX_PAUSE_S = 1.0
 
 #: Events come one by one; a pause between two calls collects them.
 _COLLECT_S = 0.5
@@ -192,14 +193,17 @@
 
     async def _follow(self, held: HeldParts, scope: anyio.CancelScope) -> None:
         connections = KeptConnections(held.holder.address, 1, self._metrics)
+        pause_s = _PAUSE_S
         with scope:
             while True:
                 try:
                     batch = await self._poll(held, connections)
                 except (ApricotliftError, ValueError) as error:
                     self._note_failure(held, error)
-                    await anyio.sleep(_PAUSE_S)
+                    await anyio.sleep(pause_s)
+                    pause_s = min(_MAX_PAUSE_S, pause_s * 2)
                     continue
+                pause_s = _PAUSE_S
                 self._apply(held, batch)
                 if batch.events:
                     await anyio.sleep(_COLLECT_S)
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/kept.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/kept.py
@@ -22,8 +22,9 @@
 DEFAULT_IDLE_S = 4.0
 #: A connection is given up before the server's own time is over, because a request
 #: that crosses the server's close may have run.
-IDLE_MARGIN_S = 0.6
-_SHARE_OF_IDLE = 0.7
+IDLE_MARGIN_S = 1.0
+#: Of short times this share is used.
+_SHARE_OF_IDLE = 0.5
 
 #: A peer that acknowledges nothing for this time is taken to be gone.
 _SILENCE_LIMIT_MS = 1500
@@ -259,13 +260,13 @@
     ...     def __init__(self, value):
     ...         self.headers = [("keep-alive", value)]
     >>> _read_idle_limit_s(Answer("timeout=5, max=100"))
-    3.5
+    4.0
     """
     for item in (answer.get_header("keep-alive") or "").split(","):
         name, _, value = item.strip().partition("=")
         if name.lower() == "timeout" and value.strip().isdigit():
             stated_s = float(value)
-            return min(stated_s - IDLE_MARGIN_S, stated_s * _SHARE_OF_IDLE)
+            return max(stated_s - IDLE_MARGIN_S, stated_s * _SHARE_OF_IDLE)
     return DEFAULT_IDLE_S
 
 
