--- a/packages/apricotlift-control/src/apricotlift/control/settings.py
+++ b/packages/apricotlift-control/src/apricotlift/control/settings.py
@@ -7,7 +7,7 @@
 
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.findings import Findings
-from apricotlift.core.inifile import build_section, read_ini
+from apricotlift.core.inifile import build_sections, read_ini
 from apricotlift.state.sections import check_address
 from pydantic import BaseModel, Field
 
@@ -71,18 +71,11 @@
     :raises ApricotliftError: ``bad_settings`` with all findings and their places.
     """
     findings = Findings()
-    built: dict[str, BaseModel] = {}
-    for section in read_ini(path, findings):
-        model = _SECTIONS.get(section.name)
-        if model is None:
-            message = f"unknown section; known are {', '.join(_SECTIONS)}"
-            findings.add(section.get_place(), "unknown_section", message)
-            continue
-        checked = build_section(model, section, findings)
-        if checked is not None:
-            built[section.name] = checked
-            if isinstance(checked, NodeModel) and checked.admin:
-                check_address(checked.admin, section, findings, "admin")
+    sections = {section.name: section for section in read_ini(path, findings)}
+    built = build_sections(sections.values(), _SECTIONS, findings)
+    node = built.get("node")
+    if isinstance(node, NodeModel) and node.admin:
+        check_address(node.admin, sections["node"], findings, "admin")
     findings.raise_if_any()
     return ControlSettings(str(path), **built)
 
--- a/packages/apricotlift-core/src/apricotlift/core/inifile.py
+++ b/packages/apricotlift-core/src/apricotlift/core/inifile.py
@@ -7,6 +7,7 @@
 import configparser
 import difflib
 import re
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TypeVar
@@ -131,6 +132,44 @@
     return built if len(findings.items) == n_before else None
 
 
+def build_sections(
+    sections: Iterable[IniSection],
+    models: Mapping[str, type[BaseModel]],
+    findings: Findings,
+) -> dict[str, BaseModel]:
+    """Validate the sections of a settings file, each with the model of its name.
+
+    :param models: by section name.
+    :param findings: receives unknown sections and what the models refuse.
+    :returns: the models of the sections without a finding, by name.
+    """
+    built: dict[str, BaseModel] = {}
+    for section in sections:
+        model = models.get(section.name)
+        if model is None:
+            message = f"unknown section; known are {', '.join(models)}"
+            findings.add(section.get_place(), "unknown_section", message)
+            continue
+        checked = build_section(model, section, findings)
+        if checked is not None:
+            built[section.name] = checked
+    return built
+
+
+def require_sections(
+    built: Mapping[str, BaseModel],
+    required: Iterable[str],
+    path: str | Path,
+    findings: Findings,
+) -> None:
+    """Note sections that are missing, unless there are findings already."""
+    if findings:
+        return
+    for name in required:
+        if name not in built:
+            findings.add(Place(str(path)), "missing", f"section [{name}] is needed")
+
+
 def split_list(value: object) -> object:
     """Split comma-separated text; meant for pydantic's ``BeforeValidator``.
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 from typing import Annotated
 
-from apricotlift.core.findings import Findings, Place
-from apricotlift.core.inifile import build_section, read_ini
+from apricotlift.core.findings import Findings
+from apricotlift.core.inifile import build_sections, read_ini, require_sections
 from pydantic import BaseModel, Field
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
@@ -75,21 +75,12 @@
     :raises ApricotliftError: ``bad_settings`` with all findings and their places.
     """
     findings = Findings()
-    built: dict[str, BaseModel] = {}
-    for section in read_ini(path, findings):
-        model = _SECTIONS.get(section.name)
-        if model is None:
-            message = f"unknown section; known are {', '.join(_SECTIONS)}"
-            findings.add(section.get_place(), "unknown_section", message)
-            continue
-        # A key without a value stands for a value that the platform doesn't have.
-        present = {key: text for key, text in section.values.items() if text}
-        checked = build_section(model, replace(section, values=present), findings)
-        if checked is not None:
-            built[section.name] = checked
-    if not findings:
-        for name in _REQUIRED:
-            if name not in built:
-                findings.add(Place(str(path)), "missing", f"section [{name}] is needed")
+    # A key without a value stands for a value that the platform doesn't have.
+    sections = [
+        replace(section, values={k: text for k, text in section.values.items() if text})
+        for section in read_ini(path, findings)
+    ]
+    built = build_sections(sections, _SECTIONS, findings)
+    require_sections(built, _REQUIRED, path, findings)
     findings.raise_if_any()
     return ForwardingSettings(**built)
--- a/packages/apricotlift-node/src/apricotlift/node/settings.py
+++ b/packages/apricotlift-node/src/apricotlift/node/settings.py
@@ -6,8 +6,13 @@
 from pathlib import Path
 from typing import Annotated
 
-from apricotlift.core.findings import Findings, Place
-from apricotlift.core.inifile import IniSection, build_section, read_ini
+from apricotlift.core.findings import Findings
+from apricotlift.core.inifile import (
+    IniSection,
+    build_sections,
+    read_ini,
+    require_sections,
+)
 from apricotlift.policy.routing import POLICIES
 from pydantic import AfterValidator, BaseModel, Field
 
@@ -155,21 +160,8 @@
     """
     findings = Findings()
     sections = {section.name: section for section in read_ini(path, findings)}
-    built: dict[str, BaseModel] = {}
-    for name, section in sections.items():
-        model = _SECTIONS.get(name)
-        if model is None:
-            known = ", ".join(_SECTIONS)
-            message = f"unknown section; known are {known}"
-            findings.add(section.get_place(), "unknown_section", message)
-            continue
-        checked = build_section(model, section, findings)
-        if checked is not None:
-            built[name] = checked
-    if not findings:
-        for name in _REQUIRED:
-            if name not in built:
-                findings.add(Place(str(path)), "missing", f"section [{name}] is needed")
+    built = build_sections(sections.values(), _SECTIONS, findings)
+    require_sections(built, _REQUIRED, path, findings)
     _check_together(built, sections, findings)
     findings.raise_if_any()
     return NodeSettings(**built)
