--- /dev/null
+++ b/features/forwardingfleet.py
@@ -0,0 +1,150 @@
+"""What the steps on forwarding nodes share: processes, rows and requests."""
+
+import http.client
+import json
+import socket
+
+from features.waiting import wait_until
+
+_ROUTES = [
+    ("orders", "/orders/", "non_idempotent", {}),
+    ("lookup", "/lookup/", "idempotent", {"maxAttempts": 2}),
+    ("doom", "/doom/", "idempotent", {"maxAttempts": 1}),
+    (
+        "long",
+        "/long/",
+        "streaming",
+        {"resumable": True, "maxAttempts": 2, "sticky": True, "timeoutMs": 9000},
+    ),
+    ("short", "/short/", "streaming", {"maxAttempts": 2, "timeoutMs": 9000}),
+]
+HOST = "site.example"
+
+
+def build_configuration(version, prefixes=(), keys=("k1",), routes=_ROUTES):
+    documents = [
+        {
+            "name": name,
+            "hostname": HOST,
+            "prefix": prefix,
+            "routeType": kind,
+            "timeoutMs": 2000,
+            "targetLatencyMs": 200,
+            "service": "svc",
+            **more,
+        }
+        for name, prefix, kind, more in routes
+    ]
+    documents += [
+        {**documents[1], "name": prefix, "prefix": prefix} for prefix in prefixes
+    ]
+    engine = {"slots": 8, "maxConcurrency": 12, "models": [{"name": "m"}]}
+    return {
+        "version": version,
+        "routes": documents,
+        "services": [{"name": "svc", "maxConnections": 100, "engine": engine}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000},
+        "tenants": [{"name": "acme", "apiKeys": list(keys)}],
+    }
+
+
+def call(address, method, target, headers=None, body=b"", timeout_s=15.0):
+    """Send one request on a connection of its own; a broken body raises."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, target, body, headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+def control(context, target, data):
+    status, _, body = call(
+        context.store_address, "POST", target, body=json.dumps(data).encode()
+    )
+    assert status == 200, (target, status)
+    return json.loads(body)
+
+
+def put(context, table, key, value):
+    control(context, "/_put", {"table": table, "key": key, "value": value})
+
+
+def put_server(context, name, address, state="ready", weights=1, started=1):
+    entry = {
+        "service": "svc",
+        "address": address,
+        "zone": "z1",
+        "slots": 8,
+        "state": state,
+        "born": started,
+        "models": [{"name": "m", "version": weights}],
+    }
+    put(context, "servers", name, entry)
+
+
+def start_servers(context, process_name, names, n_servers):
+    process = context.processes.start_module(
+        process_name, "standins.opaque", str(n_servers)
+    )
+    return {
+        name: process.get_address(f"i-{number}")
+        for number, name in enumerate(names, start=1)
+    }
+
+
+def take_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def write_settings(context, name, retry_share=0.2):
+    ports = context.ports[name]
+    text = f"[node]\nname = {name}\nfailure_domain = z1\n\n[listen]\n"
+    text += "".join(f"{key} = 127.0.0.1:{port}\n" for key, port in ports.items())
+    text += f"\n[store]\naddress = {context.store_address}\n"
+    text += f"\n[bounds]\ngrace_s = 8\nretry_share = {retry_share}\n"
+    return context.processes.write_file(f"{name}.ini", text)
+
+
+def start_node(context, name):
+    listeners = ("callers", "readiness", "directory", "peers", "metrics")
+    context.ports[name] = {listener: take_port() for listener in listeners}
+    path = write_settings(context, name)
+    process = context.processes.start_script(
+        name, "platform/main.py", {"APRICOTLIFT_BOOT": str(path)}
+    )
+    process.wait_for_event("listening", listener="callers")
+    context.nodes[name] = process
+    wait_until(
+        lambda: call(get_address(context, name, "readiness"), "GET", "/")[0] == 200
+    )
+
+
+def get_address(context, name, listener="callers"):
+    return f"127.0.0.1:{context.ports[name][listener]}"
+
+
+def read_seen(context):
+    _, _, body = call(context.servers["i-1"], "GET", "/_seen")
+    return json.loads(body)
+
+
+def send(context, node, method, target, script="ok", key="k1", body=b""):
+    context.n_requests = getattr(context, "n_requests", 0) + 1
+    context.request_id = f"r{context.n_requests}"
+    headers = {
+        "Host": HOST,
+        "X-Request-Id": context.request_id,
+        "X-Key": key,
+        "X-Script": script,
+        "X-Hold": "forged",
+        "X-Tenant": "forged",
+        "X-Deadline-Ms": "8000",
+        "X-Model": "m",
+        "X-Token-Usage": "30,5",
+        "X-Prompt-Prefix": "aa:20,bb:10",
+    }
+    return call(get_address(context, node), method, target, headers, body)
