Refuse prompts that no engine has memory for, and tell peers what runs

While two of six engines were silent, runs filled the memory of the other four (45,089 tokens each; about 40 runs of 1,100 tokens and prompts of 9,200). Prompts waited 1.2 s at the median, so that nearly all were late. A node knew only its own eighth of what runs at an engine, so placement didn't see that its memory was taken, and nothing was refused. Ruled out: prefill alone (17,000 of 38,000 tokens/s an engine); parts read again (22% of what was read; they follow from the waiting).

The scenario on other nodes' requests was seen to fail without the notes' tokens.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/occupancy.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/occupancy.py
@@ -1,8 +1,9 @@
 """What an attempt takes of its server, and what its end says of the server."""
 
+import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran
@@ -12,60 +13,88 @@
 from apricotlift.forwarding.runs import Run
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import LOAD_REFUSAL_S, ServerHandle
-from apricotlift.wire.messages import PlacementNote
+from apricotlift.wire.messages import PlacementNote, ProgressNote
 
 _REFUSAL_S = 0.25
 
 #: An unreachable server, or one whose address another one has, is left out so long.
 _UNREACHABLE_S = 1.0
 
+_numbers = itertools.count(1)
+
 
 @dataclass
 class Occupancy:
-    """What an attempt takes of its server, until its first event and its end."""
+    """What an attempt takes of its server, until its first event and its end.
+
+    :param number: of the attempt, in notes to peers.
+    """
 
     handle: ServerHandle
     peer_loads: PeerLoads
     placement: Placement | None
     prompt: Prompt | None
     started_at: float
+    number: int = field(default_factory=lambda: next(_numbers))
     has_first: bool = False
     is_reading: bool = False
 
-    def begin_reading(self) -> None:
-        """Note that the prompt is being read."""
-        if self.placement is not None:
-            self.is_reading = True
-            self.handle.prefill_tokens += self.placement.n_read
-            self._tell(is_read=False)
+    def begin(self) -> None:
+        """Note that the attempt begins, and that its prompt is being read."""
+        self.handle.n_in_flight += 1
+        self.handle.running_tokens += self.n_running
+        if self.placement is None:
+            return
+        self.is_reading = True
+        self.handle.prefill_tokens += self.placement.n_read
+        server = self.handle.server
+        parts = [part.part_id for part in self.prompt.parts[:-1]]
+        self.peer_loads.tell(
+            PlacementNote(
+                self.number,
+                server.server_id,
+                server.address,
+                self.placement.n_read,
+                self.n_running,
+                self.placement.salt,
+                parts,
+            )
+        )
 
     def note_first(self) -> None:
         """Note the first event."""
         if not self.has_first:
             self.has_first = True
             self.handle.note_latency(clocks.monotonic() - self.started_at)
-            self.end_reading()
+            self._end_reading()
 
-    def end_reading(self) -> None:
-        """Note that the prompt has been read, or was given up."""
+    def end(self) -> None:
+        """Note that the attempt has ended."""
+        self.handle.n_in_flight -= 1
+        self.handle.running_tokens -= self.n_running
+        if self.placement is None:
+            return
         if self.is_reading:
             self.is_reading = False
             self.handle.prefill_tokens -= self.placement.n_read
-            self._tell(is_read=True)
+        self._tell_progress(is_ended=True)
 
-    def _tell(self, is_read: bool) -> None:
-        server = self.handle.server
-        parts = [part.part_id for part in self.prompt.parts[:-1]]
-        self.peer_loads.tell(
-            PlacementNote(
-                server.server_id,
-                server.address,
-                self.placement.n_read,
-                is_read,
-                self.placement.salt,
-                [] if is_read else parts,
-            )
-        )
+    @property
+    def n_running(self) -> int:
+        """Tokens that the prompt and its answer take of the engine's memory."""
+        if self.prompt is None:
+            return 0
+        return self.prompt.n_prompt_tokens + self.prompt.n_output_tokens
+
+    def _end_reading(self) -> None:
+        if self.is_reading:
+            self.is_reading = False
+            self.handle.prefill_tokens -= self.placement.n_read
+            self._tell_progress(is_ended=False)
+
+    def _tell_progress(self, is_ended: bool) -> None:
+        server_id = self.handle.server.server_id
+        self.peer_loads.tell(ProgressNote(self.number, server_id, is_ended))
 
 
 @asynccontextmanager
@@ -74,13 +103,9 @@
 ) -> AsyncIterator[Occupancy]:
     """Count an attempt at its server and note how it ends."""
     now = clocks.monotonic()
-    prompt = run.request.prompt
-    n_running = prompt.n_prompt_tokens + prompt.n_output_tokens if prompt else 0
-    held = Occupancy(handle, node.peer_loads, placement, prompt, now)
+    held = Occupancy(handle, node.peer_loads, placement, run.request.prompt, now)
     ticket = handle.breaker.begin(now)
-    handle.n_in_flight += 1
-    held.begin_reading()
-    handle.running_tokens += n_running
+    held.begin()
     verdict: bool | None = None
     try:
         yield held
@@ -91,9 +116,7 @@
         verdict = _judge(node, run, handle, placement, error)
         raise
     finally:
-        handle.n_in_flight -= 1
-        handle.running_tokens -= n_running
-        held.end_reading()
+        held.end()
         finished_at = clocks.monotonic()
         if verdict is not None:
             handle.note_result(verdict, finished_at)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -65,6 +65,7 @@
 
     :param weights: the version that it has.
     :param peer_tokens: prompt tokens that other nodes have given it to read.
+    :param peer_running: tokens in its memory for running requests of other nodes.
     :param is_doubtful: it refuses work now or its breaker is open.
     :param replaced_at: when a newer version was named than it has, if one was.
     :param is_outdated: the newer version is preferred by now.
@@ -73,11 +74,21 @@
     handle: ServerHandle
     weights: int | None
     peer_tokens: int = 0
+    peer_running: int = 0
     replaced_at: float | None = None
     is_doubtful: bool = False
     is_outdated: bool = False
 
 
+def compute_crowding(engine: Engine, choice: EngineChoice, n_tokens: int) -> float:
+    """Return the share of an engine's memory that runs take with one more.
+
+    Above 1, a run waits until others have ended.
+    """
+    n_running = choice.handle.running_tokens + choice.peer_running + n_tokens
+    return n_running / max(1, engine.kv_capacity_tokens)
+
+
 def build_salt(model: str, weights: int | None, account: Account | None) -> str:
     """Return the text under which parts are cached.
 
@@ -235,7 +246,7 @@
     cost_s += n_ahead / PREFILL_TOKENS_PER_S
     cost_s += handle.n_in_flight * _STEP_COST_S
     if engine.kv_capacity_tokens:
-        crowding = (handle.running_tokens + n_tokens) / engine.kv_capacity_tokens
+        crowding = compute_crowding(engine, choice, n_tokens)
         cost_s += max(0.0, crowding - 0.5)
     cost_s += handle.get_failure_share(now) * _FAILURE_COST_S
     cost_s += _DOUBT_COST_S * choice.is_doubtful + _DOUBT_COST_S * choice.is_outdated
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -33,7 +33,12 @@
 from apricotlift.state.membership import Membership
 from apricotlift.state.view import MemberState
 from apricotlift.wire.connections import PeerPool, PeerServer
-from apricotlift.wire.messages import MemberSummary, OrderNote, PlacementNote
+from apricotlift.wire.messages import (
+    MemberSummary,
+    OrderNote,
+    PlacementNote,
+    ProgressNote,
+)
 
 #: A stopping node still takes requests this long, because clients keep its address.
 LINGER_S = 3.0
@@ -191,7 +196,8 @@
     peer_loads = PeerLoads(
         membership.view, index.expect, note_loading, peers.pool, metrics
     )
-    peers.server.register(PlacementNote, peer_loads.handle_note)
+    peers.server.register(PlacementNote, peer_loads.handle_placement)
+    peers.server.register(ProgressNote, peer_loads.handle_progress)
     peers.server.register(OrderNote, peer_loads.handle_order)
     bounds = settings.bounds
     return Runtime(
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/targets.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/targets.py
@@ -2,6 +2,7 @@
 
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.forwarding.admission import check_room, choose_priority
 from apricotlift.forwarding.attempts import Dispatch
 from apricotlift.forwarding.facts import ClientRequest, Server, Service
 from apricotlift.forwarding.placement import (
@@ -69,6 +70,14 @@
     request = run.request
     prompt = request.prompt
     choices = _list_choices(node, prompt.model, servers, now)
+    if run.n_attempts == 0:
+        check_room(
+            request,
+            run.service.name,
+            run.service.engine,
+            node.knowledge.configuration,
+            choices,
+        )
     placement = place(
         prompt,
         request.account,
@@ -87,11 +96,7 @@
     note_placed(placement, prompt, node.index)
     names = node.dialect.headers
     headers = [(names.cache_salt, placement.salt)]
-    account = request.account
-    priority = request.route.priority
-    if account is not None and account.priority is not None:
-        priority = account.priority
-    headers.append((names.priority, str(max(0, min(9, priority)))))
+    headers.append((names.priority, str(choose_priority(request))))
     if placement.weights is not None:
         headers.append((names.expected_weights, str(placement.weights)))
     is_apart = run.service.engine.takes_parts_apart
@@ -126,12 +131,13 @@
             is_outdated = age_s > _WEIGHTS_GRACE_S or server.server_id in next_ones
         handle = node.handles.get(server)
         is_doubtful = handle.refuses_until > now or not handle.breaker.allows(now)
-        n_ahead = node.peer_loads.get_tokens(server.server_id)
+        n_unread, n_running = node.peer_loads.get_loads(server.server_id)
         choices.append(
             EngineChoice(
                 handle,
                 weights,
-                peer_tokens=n_ahead,
+                peer_tokens=n_unread,
+                peer_running=n_running,
                 replaced_at=replaced_at,
                 is_doubtful=is_doubtful,
                 is_outdated=is_outdated,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/peerloads.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/peerloads.feature
@@ -6,15 +6,23 @@
   # Guards against: engines that look idle because other nodes' prompts are unseen.
   Scenario: A peer's prompt counts until it is read
     When the peer "n2" gives "e1" 5000 tokens to read
-    Then 5000 tokens are under way at "e1"
-    When the peer "n2" says that 5000 tokens at "e1" are read
-    Then 0 tokens are under way at "e1"
+    Then 5000 tokens are unread and 5100 running at "e1"
+    When the peer "n2" says that the prompt at "e1" is read
+    Then 0 tokens are unread and 5100 running at "e1"
+
+  # Guards against: engines whose memory looks taken by runs that have ended.
+  Scenario: A peer's run counts until it ends
+    When the peer "n2" gives "e1" 5000 tokens to read
+    And the peer "n2" says that the prompt at "e1" is ended
+    Then 0 tokens are unread and 0 running at "e1"
 
   # Guards against: load that stays for ever because a note was lost.
   Scenario: A prompt whose end was never told ends by itself
     When the peer "n2" gives "e1" 5000 tokens to read
     And 3 seconds go by
-    Then 0 tokens are under way at "e1"
+    Then 0 tokens are unread and 5100 running at "e1"
+    When 6 seconds go by
+    Then 0 tokens are unread and 0 running at "e1"
 
   # Guards against: a part that two nodes have read at two engines.
   Scenario: A part that a peer has an engine read is expected there
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/placement.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/placement.feature
@@ -25,6 +25,14 @@
     Then it runs on "a" and reads 100 tokens
     And it fetches "p1, p2"
 
+  # Guards against: prompts that wait for memory that other nodes' runs take.
+  Scenario: An engine whose memory is taken by other nodes' requests loses the prompt
+    Given "b" holds "p1, p2"
+    And "s" holds "p1, p2"
+    And "b" has 38000 tokens of running requests of other nodes
+    When a prompt with the parts "p1, p2, own" is placed
+    Then it runs on "a" and reads 100 tokens
+
   # Guards against: parts that are fetched while they are still being written, or that
   # are gone, because the store's events can't be read.
   Scenario: Nothing is fetched from a store whose events can't be read
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/admission_steps.py
@@ -0,0 +1,125 @@
+from apricotlift.core.errors import ApricotliftError, Ran
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.admission import check_room, choose_priority
+from apricotlift.forwarding.facts import (
+    ClientRequest,
+    Configuration,
+    Engine,
+    Prompt,
+    PromptPart,
+    Route,
+    Server,
+)
+from apricotlift.forwarding.placement import EngineChoice
+from apricotlift.forwarding.servers import BREAKER_SETTINGS, ServerHandle
+from apricotlift.policy.breaker import Breaker
+from apricotlift.upstreams.kept import KeptConnections
+from behave import given, then, when
+
+_TIMEOUT_S = 5.0
+
+
+def build_route(name, priority):
+    return Route(
+        name,
+        "host",
+        f"/{name}/",
+        is_stream=True,
+        is_repeatable=False,
+        is_resumable=False,
+        shares=(("svc", 1.0),),
+        timeout_s=_TIMEOUT_S,
+        priority=priority,
+    )
+
+
+@given("engines with memory for {n:d} tokens and a route of priority 1 beside one of 0")
+def step_engines(context, n):
+    context.engine = Engine(kv_capacity_tokens=n)
+    context.routes = {n: build_route(f"r{n}", n) for n in (0, 1)}
+    context.choices = []
+
+
+def add_engine(context, n_own=0, n_peers=0, is_doubtful=False):
+    address = f"10.0.0.{len(context.choices)}:80"
+    server = Server(address, "svc", address, "z1", weights={"m": 1})
+    connections = KeptConnections(address, 4, Metrics())
+    handle = ServerHandle(server, connections, Breaker(BREAKER_SETTINGS))
+    handle.running_tokens = n_own
+    context.choices.append(
+        EngineChoice(handle, 1, peer_running=n_peers, is_doubtful=is_doubtful)
+    )
+
+
+@given("{n:d} tokens run at each engine, this node's and other nodes'")
+def step_running(context, n):
+    context.choices = []
+    for n_own in (1000, n - 1000):
+        add_engine(context, n_own, n - n_own)
+
+
+@given("one engine is idle")
+def step_idle(context):
+    add_engine(context)
+
+
+@given("one engine is idle and refuses work")
+def step_idle_refusing(context):
+    add_engine(context, is_doubtful=True)
+
+
+def ask(context, n, priority, later_s=0.0):
+    prompt = Prompt("m", (PromptPart("own", n),), n, 0)
+    context.request = ClientRequest(
+        "id1",
+        "POST",
+        "/r/a",
+        (),
+        b"",
+        context.routes[priority],
+        None,
+        received_at=100.0,
+        deadline_at=100.0 + _TIMEOUT_S - later_s,
+        client_deadline_at=100.0 + _TIMEOUT_S - later_s,
+        prompt=prompt,
+    )
+    configuration = Configuration(1, tuple(context.routes.values()))
+    context.error = None
+    try:
+        check_room(
+            context.request, "svc", context.engine, configuration, context.choices
+        )
+    except ApricotliftError as error:
+        context.error = error
+
+
+@when("a prompt of {n:d} tokens of priority {priority:d} asks for room")
+def step_ask(context, n, priority):
+    ask(context, n, priority)
+
+
+@when(
+    "a prompt of {n:d} tokens of priority {priority:d} asks for room "
+    "{later_s:d} s later than at first"
+)
+def step_ask_later(context, n, priority, later_s):
+    ask(context, n, priority, later_s)
+
+
+@then("it is admitted")
+def step_admitted(context):
+    assert context.error is None, context.error
+
+
+@then('it is refused as "{code}", with a time to come back')
+def step_refused(context, code):
+    assert context.error is not None
+    assert context.error.code == code, context.error
+    assert context.error.ran is Ran.NO
+    assert context.error.retry_after_s > 0
+
+
+@then("the engine's priority for it is {priority:d}")
+def step_priority(context, priority):
+    found = choose_priority(context.request)
+    assert found == priority, found
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/peerloads_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/peerloads_steps.py
@@ -5,7 +5,7 @@
 from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.tests.forwarding_fakes import Clock
 from apricotlift.wire.handshake import Identity
-from apricotlift.wire.messages import OrderNote, PlacementNote
+from apricotlift.wire.messages import OrderNote, PlacementNote, ProgressNote
 from behave import given, then, when
 
 
@@ -38,20 +38,20 @@
     ]
 
 
-def build_note(server, n, is_read=False):
-    return PlacementNote(server, "10.0.0.1:80", n, is_read, "salt", ["p1"])
+def build_note(server, n):
+    return PlacementNote(7, server, "10.0.0.1:80", n, n + 100, "salt", ["p1"])
 
 
 @when('the peer "{name}" gives "{server}" {n:d} tokens to read')
 def step_gives(context, name, server, n):
     note = build_note(server, n)
-    anyio.run(context.loads.handle_note, note, Identity(name, "i", "z"))
+    anyio.run(context.loads.handle_placement, note, Identity(name, "i", "z"))
 
 
-@when('the peer "{name}" says that {n:d} tokens at "{server}" are read')
-def step_read(context, name, n, server):
-    note = build_note(server, n, is_read=True)
-    anyio.run(context.loads.handle_note, note, Identity(name, "i", "z"))
+@when('the peer "{name}" says that the prompt at "{server}" is {state}')
+def step_progress(context, name, server, state):
+    note = ProgressNote(7, server, state == "ended")
+    anyio.run(context.loads.handle_progress, note, Identity(name, "i", "z"))
 
 
 @when('the peer "{name}" orders "{server}" to load')
@@ -70,9 +70,10 @@
     context.clock.now += seconds
 
 
-@then('{n:d} tokens are under way at "{server}"')
-def step_under_way(context, n, server):
-    assert context.loads.get_tokens(server) == n, context.loads.get_tokens(server)
+@then('{n_unread:d} tokens are unread and {n_running:d} running at "{server}"')
+def step_under_way(context, n_unread, n_running, server):
+    found = context.loads.get_loads(server)
+    assert found == (n_unread, n_running), found
 
 
 @then('the part "{part}" is expected at "{server}"')
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/placement_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/placement_steps.py
@@ -31,6 +31,7 @@
     )
     context.handles = {}
     context.peer_tokens = {}
+    context.peer_running = {}
     context.refusing = set()
     for number, (name, domain) in enumerate(split(engines)):
         address = f"10.0.0.{number}:80"
@@ -73,6 +74,11 @@
     context.peer_tokens[name] = n
 
 
+@given('"{name}" has {n:d} tokens of running requests of other nodes')
+def step_crowded(context, name, n):
+    context.peer_running[name] = n
+
+
 @given('"{name}" refuses work')
 def step_refuses(context, name):
     context.refusing.add(name)
@@ -142,14 +148,16 @@
             handle,
             weights,
             context.peer_tokens.get(name, 0),
+            context.peer_running.get(name, 0),
             replaced_at,
             name in context.refusing,
         )
         for name, handle in context.handles.items()
     ]
     source = source or random.Random(1)
+    engine = Engine(kv_capacity_tokens=40_000)
     context.placement = place(
-        prompt, account, Engine(), choices, context.index, context.clock(), source
+        prompt, account, engine, choices, context.index, context.clock(), source
     )
     if is_noted:
         context.saves = choose_saves(
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -287,24 +287,40 @@
 
 @dataclass(frozen=True)
 class PlacementNote(Message):
-    """Tells peers of a prompt that an engine was given to read, or has read.
+    """Tells peers of a prompt that an engine was given.
 
+    :param number: of the attempt, among those of this node.
     :param server: id of the engine; :param address: its address.
-    :param n_tokens: prompt tokens that it reads.
-    :param is_read: whether they have been read, or given up.
+    :param n_unread: prompt tokens that it reads first.
+    :param n_running: tokens that the prompt and its answer take of its memory.
     :param salt: what the parts are cached under.
     :param parts: ids of the shared parts that it will hold.
     """
 
     kind: ClassVar[str] = "placement_note"
+    number: int
     server: str
     address: str
-    n_tokens: int
-    is_read: bool
+    n_unread: int
+    n_running: int
     salt: str
     parts: list[str]
 
 
+@dataclass(frozen=True)
+class ProgressNote(Message):
+    """Tells peers how far an engine is with a prompt that it was given.
+
+    :param number: of the attempt, as in its :class:`PlacementNote`.
+    :param is_ended: whether it has ended, or else the prompt has been read.
+    """
+
+    kind: ClassVar[str] = "progress_note"
+    number: int
+    server: str
+    is_ended: bool
+
+
 @dataclass(frozen=True)
 class OrderNote(Message):
     """Tells peers that an engine is ordered to load weights, and refuses work now."""
@@ -394,6 +410,7 @@
         FindAttemptReply,
         LoadNote,
         PlacementNote,
+        ProgressNote,
         OrderNote,
         WriteClaims,
         WriteClaimsReply,
