Count what runs at engines in one place, and shared parts once

Cause: the share of an engine's memory counted each run's whole prompt. On deployments whose prompts share most of their tokens, engines would look full while they aren't, and one prompt larger than the limit would be refused for ever. Change: EngineLoads counts this node's and the peers' runs alike, shared parts once; the node's own counters in ServerHandle are gone. Nothing is refused while an engine's runs take up to half of its memory. Limits now 0.85, 1.0 and 1.25, because shared parts no longer count twice.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/admission.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/admission.py
@@ -11,12 +11,19 @@
 
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.facts import ClientRequest, Configuration, Engine
-from apricotlift.forwarding.placement import EngineChoice, compute_crowding
+from apricotlift.forwarding.placement import (
+    EngineChoice,
+    build_salt,
+    compute_crowding,
+)
 
 #: Shares of the least crowded engine's memory above which a prompt is refused.
-_SHARE_MAX = 1.0
-_URGENT_SHARE_MAX = 1.2
-_RETURNED_SHARE_MAX = 1.5
+_SHARE_MAX = 0.85
+_URGENT_SHARE_MAX = 1.0
+_RETURNED_SHARE_MAX = 1.25
+
+#: Share of its memory that runs take at an engine where prompts may have to wait.
+_BUSY_SHARE = 0.5
 
 #: A client whose time is shorter than the route's timeout by more has come back.
 _RETURNED_S = 0.4
@@ -38,17 +45,29 @@
 
     :raises ApricotliftError: ``overloaded``; nothing ran.
     """
-    n_tokens = request.prompt.n_prompt_tokens + request.prompt.n_output_tokens
+    prompt = request.prompt
     usable = [c for c in choices if not (c.is_doubtful or c.is_outdated)]
+    n_busy = _BUSY_SHARE * engine.kv_capacity_tokens
     if not usable or not engine.kv_capacity_tokens:
         return 0.0
-    crowding = min(compute_crowding(engine, choice, n_tokens) for choice in usable)
+    if any(choice.load.n_running <= n_busy for choice in usable):
+        # A large prompt alone fills an engine, and yet it can begin at once.
+        return 0.0
+    crowding = min(
+        compute_crowding(
+            engine,
+            choice,
+            prompt,
+            build_salt(prompt.model, choice.weights, request.account),
+        )
+        for choice in usable
+    )
     limit = _choose_limit(request, service, configuration)
     if crowding > limit:
         message = (
-            f"with {n_tokens} tokens more, runs take {crowding:.2f} of the memory of "
-            f"the least crowded of {len(usable)} engines of {service}; "
-            f"the limit is {limit}"
+            f"with {prompt.n_tokens + prompt.n_output_tokens} tokens more, runs take "
+            f"{crowding:.2f} of the memory of the least crowded of {len(usable)} "
+            f"engines of {service}; the limit is {limit}"
         )
         raise ApricotliftError(
             Code.OVERLOADED, message, Ran.NO, Scope.FLEET, _RETRY_AFTER_S
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/facts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/facts.py
@@ -185,6 +185,22 @@
     n_prompt_tokens: int = 0
     n_output_tokens: int = 0
 
+    @property
+    def n_tokens(self) -> int:
+        """Tokens of the prompt."""
+        return max(self.n_prompt_tokens, sum(part.n_tokens for part in self.parts))
+
+    @property
+    def shared_parts(self) -> list[tuple[str, int]]:
+        """Ids and tokens of the parts that other requests may share."""
+        return [(part.part_id, part.n_tokens) for part in self.parts[:-1]]
+
+    @property
+    def n_own(self) -> int:
+        """Tokens of the prompt and its answer that belong to the request alone."""
+        n_shared = sum(n_tokens for _, n_tokens in self.shared_parts)
+        return self.n_tokens - n_shared + self.n_output_tokens
+
 
 @dataclass(frozen=True)
 class ClientRequest:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/occupancy.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/occupancy.py
@@ -1,100 +1,65 @@
 """What an attempt takes of its server, and what its end says of the server."""
 
-import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.facts import Prompt
-from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.placement import Placement
 from apricotlift.forwarding.runs import Run
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import LOAD_REFUSAL_S, ServerHandle
-from apricotlift.wire.messages import PlacementNote, ProgressNote
+from apricotlift.wire.messages import PlacementNote
 
 _REFUSAL_S = 0.25
 
 #: An unreachable server, or one whose address another one has, is left out so long.
 _UNREACHABLE_S = 1.0
 
-_numbers = itertools.count(1)
-
 
 @dataclass
 class Occupancy:
     """What an attempt takes of its server, until its first event and its end.
 
-    :param number: of the attempt, in notes to peers.
+    :param note: what nodes count for it at an engine, ``None`` elsewhere.
     """
 
     handle: ServerHandle
-    peer_loads: PeerLoads
+    loads: EngineLoads
     placement: Placement | None
     prompt: Prompt | None
     started_at: float
-    number: int = field(default_factory=lambda: next(_numbers))
+    note: PlacementNote | None = None
     has_first: bool = False
-    is_reading: bool = False
 
     def begin(self) -> None:
-        """Note that the attempt begins, and that its prompt is being read."""
+        """Note that the attempt begins."""
         self.handle.n_in_flight += 1
-        self.handle.running_tokens += self.n_running
-        if self.placement is None:
-            return
-        self.is_reading = True
-        self.handle.prefill_tokens += self.placement.n_read
-        server = self.handle.server
-        parts = [part.part_id for part in self.prompt.parts[:-1]]
-        self.peer_loads.tell(
-            PlacementNote(
-                self.number,
-                server.server_id,
-                server.address,
-                self.placement.n_read,
-                self.n_running,
+        if self.placement is not None:
+            self.note = self.loads.begin(
+                self.handle.server,
                 self.placement.salt,
-                parts,
+                self.prompt.shared_parts,
+                self.placement.n_read,
+                self.prompt.n_own,
             )
-        )
 
     def note_first(self) -> None:
         """Note the first event."""
         if not self.has_first:
             self.has_first = True
             self.handle.note_latency(clocks.monotonic() - self.started_at)
-            self._end_reading()
+            if self.note is not None:
+                self.loads.note_read(self.note)
 
     def end(self) -> None:
         """Note that the attempt has ended."""
         self.handle.n_in_flight -= 1
-        self.handle.running_tokens -= self.n_running
-        if self.placement is None:
-            return
-        if self.is_reading:
-            self.is_reading = False
-            self.handle.prefill_tokens -= self.placement.n_read
-        self._tell_progress(is_ended=True)
-
-    @property
-    def n_running(self) -> int:
-        """Tokens that the prompt and its answer take of the engine's memory."""
-        if self.prompt is None:
-            return 0
-        return self.prompt.n_prompt_tokens + self.prompt.n_output_tokens
-
-    def _end_reading(self) -> None:
-        if self.is_reading:
-            self.is_reading = False
-            self.handle.prefill_tokens -= self.placement.n_read
-            self._tell_progress(is_ended=False)
-
-    def _tell_progress(self, is_ended: bool) -> None:
-        server_id = self.handle.server.server_id
-        self.peer_loads.tell(ProgressNote(self.number, server_id, is_ended))
+        if self.note is not None:
+            self.loads.end(self.note)
 
 
 @asynccontextmanager
@@ -103,7 +68,7 @@
 ) -> AsyncIterator[Occupancy]:
     """Count an attempt at its server and note how it ends."""
     now = clocks.monotonic()
-    held = Occupancy(handle, node.peer_loads, placement, run.request.prompt, now)
+    held = Occupancy(handle, node.engine_loads, placement, run.request.prompt, now)
     ticket = handle.breaker.begin(now)
     held.begin()
     verdict: bool | None = None
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -7,10 +7,11 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from apricotlift.core.hashing import digest, rank_nodes
 from apricotlift.forwarding.cacheindex import CacheIndex, HeldParts
+from apricotlift.forwarding.engineloads import EngineLoad
 from apricotlift.forwarding.facts import Account, Engine, Prompt, PromptPart
 from apricotlift.forwarding.servers import ServerHandle
 
@@ -64,8 +65,7 @@
     """An engine that may run the prompt.
 
     :param weights: the version that it has.
-    :param peer_tokens: prompt tokens that other nodes have given it to read.
-    :param peer_running: tokens in its memory for running requests of other nodes.
+    :param load: what runs there.
     :param is_doubtful: it refuses work now or its breaker is open.
     :param replaced_at: when a newer version was named than it has, if one was.
     :param is_outdated: the newer version is preferred by now.
@@ -73,20 +73,22 @@
 
     handle: ServerHandle
     weights: int | None
-    peer_tokens: int = 0
-    peer_running: int = 0
+    load: EngineLoad = field(default_factory=EngineLoad)
     replaced_at: float | None = None
     is_doubtful: bool = False
     is_outdated: bool = False
 
 
-def compute_crowding(engine: Engine, choice: EngineChoice, n_tokens: int) -> float:
+def compute_crowding(
+    engine: Engine, choice: EngineChoice, prompt: Prompt, salt: str
+) -> float:
     """Return the share of an engine's memory that runs take with one more.
 
     Above 1, a run waits until others have ended.
     """
-    n_running = choice.handle.running_tokens + choice.peer_running + n_tokens
-    return n_running / max(1, engine.kv_capacity_tokens)
+    load = choice.load
+    n_more = load.count_more(salt, prompt.shared_parts, prompt.n_own)
+    return (load.n_running + n_more) / max(1, engine.kv_capacity_tokens)
 
 
 def build_salt(model: str, weights: int | None, account: Account | None) -> str:
@@ -237,16 +239,14 @@
             is_joined = False
             fetch.append(None)
     fetch.append(None)
-    n_tokens = max(prompt.n_prompt_tokens, sum(p.n_tokens for p in prompt.parts))
-    n_read = max(1, n_tokens - n_reused - n_fetched)
+    n_read = max(1, prompt.n_tokens - n_reused - n_fetched)
     n_shared_read = sum(p.n_tokens for p in prompt.parts[:-1]) - n_reused - n_fetched
     cost_s = fetch_s + move_s + n_read / PREFILL_TOKENS_PER_S
     cost_s += n_shared_read * _READ_AGAIN_CHARGE_S / 1000
-    n_ahead = handle.prefill_tokens + choice.peer_tokens
-    cost_s += n_ahead / PREFILL_TOKENS_PER_S
+    cost_s += choice.load.n_unread / PREFILL_TOKENS_PER_S
     cost_s += handle.n_in_flight * _STEP_COST_S
     if engine.kv_capacity_tokens:
-        crowding = compute_crowding(engine, choice, n_tokens)
+        crowding = compute_crowding(engine, choice, prompt, salt)
         cost_s += max(0.0, crowding - 0.5)
     cost_s += handle.get_failure_share(now) * _FAILURE_COST_S
     cost_s += _DOUBT_COST_S * choice.is_doubtful + _DOUBT_COST_S * choice.is_outdated
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -13,6 +13,7 @@
 from apricotlift.forwarding.cacheindex import CacheIndex, Holder
 from apricotlift.forwarding.clustersecret import read_cluster_secret
 from apricotlift.forwarding.dialect import Dialect
+from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.facts import Server
 from apricotlift.forwarding.feeds import RowSource
 from apricotlift.forwarding.front import (
@@ -23,7 +24,6 @@
 )
 from apricotlift.forwarding.knowledge import Knowledge
 from apricotlift.forwarding.listeners import HttpServer, bind, build_server
-from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings, load_settings
@@ -193,12 +193,12 @@
         if server is not None:
             handles.note_loading(server)
 
-    peer_loads = PeerLoads(
+    engine_loads = EngineLoads(
         membership.view, index.expect, note_loading, peers.pool, metrics
     )
-    peers.server.register(PlacementNote, peer_loads.handle_placement)
-    peers.server.register(ProgressNote, peer_loads.handle_progress)
-    peers.server.register(OrderNote, peer_loads.handle_order)
+    peers.server.register(PlacementNote, engine_loads.handle_placement)
+    peers.server.register(ProgressNote, engine_loads.handle_progress)
+    peers.server.register(OrderNote, engine_loads.handle_order)
     bounds = settings.bounds
     return Runtime(
         settings,
@@ -211,13 +211,13 @@
         Suspects(store.open_table("apricotlift-suspects"), store, metrics),
         index,
         membership,
-        peer_loads,
+        engine_loads,
     )
 
 
 def _announce_load(node: Runtime, server: Server) -> None:
     node.handles.note_loading(server)
-    node.peer_loads.tell(OrderNote(server.server_id))
+    node.engine_loads.tell(OrderNote(server.server_id))
 
 
 def _list_holders(knowledge: Knowledge) -> list[Holder]:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -8,9 +8,9 @@
 from apricotlift.forwarding.budgets import RetryBudgets
 from apricotlift.forwarding.cacheindex import CacheIndex
 from apricotlift.forwarding.dialect import Dialect
+from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.facts import Server
 from apricotlift.forwarding.knowledge import Knowledge
-from apricotlift.forwarding.peerloads import PeerLoads
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings
 from apricotlift.forwarding.suspects import Suspects
@@ -38,7 +38,7 @@
     suspects: Suspects
     index: CacheIndex
     membership: Membership
-    peer_loads: PeerLoads
+    engine_loads: EngineLoads
     random: Random = field(default_factory=Random)
     is_draining: bool = False
     is_stopping: bool = False
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
@@ -43,8 +43,6 @@
     """One incarnation of a server as this node uses it.
 
     :param n_in_flight: this node's requests there.
-    :param prefill_tokens: prompt tokens that this node's requests there still have to
-        read before their first piece.
     :param refuses_until: the server has refused work until about then.
     """
 
@@ -52,8 +50,6 @@
     connections: KeptConnections
     breaker: Breaker
     n_in_flight: int = 0
-    prefill_tokens: int = 0
-    running_tokens: int = 0
     latency_s: float = _FIRST_LATENCY_S
     refuses_until: float = 0.0
     _failure_share: float = 0.0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/targets.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/targets.py
@@ -131,13 +131,11 @@
             is_outdated = age_s > _WEIGHTS_GRACE_S or server.server_id in next_ones
         handle = node.handles.get(server)
         is_doubtful = handle.refuses_until > now or not handle.breaker.allows(now)
-        n_unread, n_running = node.peer_loads.get_loads(server.server_id)
         choices.append(
             EngineChoice(
                 handle,
                 weights,
-                peer_tokens=n_unread,
-                peer_running=n_running,
+                node.engine_loads.get_load(server.server_id),
                 replaced_at=replaced_at,
                 is_doubtful=is_doubtful,
                 is_outdated=is_outdated,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/peerloads.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/engineloads.feature
@@ -16,6 +16,16 @@
     And the peer "n2" says that the prompt at "e1" is ended
     Then 0 tokens are unread and 0 running at "e1"
 
+  # Guards against: an engine that looks full because parts that runs share count for
+  # each of them.
+  Scenario: A part that several requests share counts once
+    When the peer "n2" gives "e1" 5000 tokens to read
+    And the peer "n3" gives "e1" 3000 tokens to read
+    And this node gives "e1" 2000 tokens to read
+    Then 10000 tokens are unread and 10100 running at "e1"
+    When the peer "n2" says that the prompt at "e1" is ended
+    Then 5000 tokens are unread and 5100 running at "e1"
+
   # Guards against: load that stays for ever because a note was lost.
   Scenario: A prompt whose end was never told ends by itself
     When the peer "n2" gives "e1" 5000 tokens to read
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -292,9 +292,10 @@
     :param number: of the attempt, among those of this node.
     :param server: id of the engine; :param address: its address.
     :param n_unread: prompt tokens that it reads first.
-    :param n_running: tokens that the prompt and its answer take of its memory.
+    :param n_own: tokens of its memory that the request takes beside shared parts.
     :param salt: what the parts are cached under.
     :param parts: ids of the shared parts that it will hold.
+    :param part_tokens: tokens of each shared part.
     """
 
     kind: ClassVar[str] = "placement_note"
@@ -302,9 +303,10 @@
     server: str
     address: str
     n_unread: int
-    n_running: int
+    n_own: int
     salt: str
     parts: list[str]
+    part_tokens: list[int]
 
 
 @dataclass(frozen=True)
