--- a/bench/faultworld.py
+++ b/bench/faultworld.py
@@ -317,7 +317,16 @@
                 process = self.running[name].popen
                 if process.poll() is not None:
                     await anyio.sleep(0.5)
-                    await self.restart_standin(name)
+                    await self._restart_engine(name)
+
+    async def _restart_engine(self, name: str) -> None:
+        try:
+            await self.restart_standin(name)
+        except AssertionError as error:
+            if self.running[name].popen.poll() != -signal.SIGKILL:
+                raise
+            # Another fault killed it before it listened; the watch starts it again.
+            logs.log(logs.WARNING, "engine_killed_at_start", reason=str(error))
 
     def signal(self, run: NodeRun, number: signal.Signals) -> None:
         """Send a signal to a node."""
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -135,6 +135,17 @@
     When a client following "hang" gets "/doom/a" 5 times while each server crashes
     Then at most 4 servers saw it and the last client gets 503
 
+  Scenario: A prompt is refused while other nodes' prompts fill every engine
+    # Guards against prompts that wait at full engines until all of them are late, and
+    # against a refusal whose reason nobody can find (docs/OPERATIONS.md).
+    Given the node "n2" as well
+    And engines with memory for 20 tokens
+    When clients post "/long/a" 3 times to "n2" and read long streams
+    And a client posts "/long/b" with the script "ok" to "n1"
+    Then the client gets 503 with a time to come back
+    And the servers saw 3 requests
+    And the log of "n1" tells for its id the status 503 and "overloaded"
+
   Scenario: The engines are brought to the named weights by one node
     # Guards against two holders of orders, and weights that are never loaded.
     Given the node "n2" as well
--- a/features/forwardingfleet.py
+++ b/features/forwardingfleet.py
@@ -21,7 +21,7 @@
 HOST = "site.example"
 
 
-def build_configuration(version, prefixes=(), keys=("k1",), routes=_ROUTES):
+def build_configuration(version, prefixes=(), keys=("k1",), n_kv_tokens=0):
     documents = [
         {
             "name": name,
@@ -33,12 +33,14 @@
             "service": "svc",
             **more,
         }
-        for name, prefix, kind, more in routes
+        for name, prefix, kind, more in _ROUTES
     ]
     documents += [
         {**documents[1], "name": prefix, "prefix": prefix} for prefix in prefixes
     ]
     engine = {"slots": 8, "maxConcurrency": 12, "models": [{"name": "m"}]}
+    if n_kv_tokens:
+        engine["kvCapacityTokens"] = n_kv_tokens
     return {
         "version": version,
         "routes": documents,
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from functools import partial
 
 from behave import given, then, when
 
@@ -97,6 +98,14 @@
     wait_until(lambda: read_seen(context)["seen"])
 
 
+@when('clients post "{target}" {n:d} times to "{node}" and read long streams')
+def step_post_streams(context, target, n, node):
+    for number in range(n):
+        run = partial(send, context, node, "POST", target, "stream:150")
+        threading.Thread(target=run, daemon=True).start()
+        wait_until(lambda count=number: len(read_seen(context)["seen"]) > count)
+
+
 @when('a client posts "{target}" with the script "{script}" to "{node}" and leaves')
 def step_post_and_leave(context, target, script, node):
     host, port = get_address(context, node).split(":")
@@ -171,6 +180,13 @@
     put(context, "op", "config", build_configuration(version))
 
 
+@given("engines with memory for {n:d} tokens")
+def step_small_engines(context, n):
+    put(context, "op", "config", build_configuration(6, n_kv_tokens=n))
+    for node in context.nodes.values():
+        node.wait_for_event("configuration_applied", version=6)
+
+
 @when('the operator writes configuration {version:d} without the key "{key}"')
 def step_revoke(context, version, key):
     put(context, "op", "config", build_configuration(version, keys=("other",)))
@@ -423,6 +439,13 @@
     assert failed["code"] == code and failed[key] == value, failed
 
 
+@then('the log of "{name}" tells for its id the status {status:d} and "{code}"')
+def step_refused_with(context, name, status, code):
+    node = context.nodes[name]
+    ended = node.wait_for_event("request_ended", request_id=context.request_id)
+    assert (ended["status"], ended["code"]) == (status, code), ended
+
+
 @then('the log of "{name}" tells that its answer is incomplete')
 def step_incomplete(context, name):
     node = context.nodes[name]
