--- a/bench/faultworld.py
+++ b/bench/faultworld.py
@@ -14,7 +14,7 @@
 
 import anyio
 import httpcore
-from apricotlift.core import clocks
+from apricotlift.core import clocks, logs
 
 from standins.fleet import CLUSTER_SECRET, OPERATOR_KEY, Answer
 from standins.journal import read_journal
