Know prompts that come back by what was refused, and admit them where room is left

Cause: a client counted as one that had come back when its deadline was shorter than the route's timeout by 0.4 s. After a change of a timeout, or where clients wait for less than the route allows, every prompt would count so and lose its priority. Change: nodes remember for 10 s which prompts they refused and tell each other (RefusalNote).

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/engineloads.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/engineloads.py
@@ -18,7 +18,7 @@
 from apricotlift.state.view import MembershipView
 from apricotlift.wire.connections import PeerPool
 from apricotlift.wire.handshake import Identity
-from apricotlift.wire.messages import OrderNote, PlacementNote, ProgressNote
+from apricotlift.wire.messages import Message, OrderNote, PlacementNote, ProgressNote
 
 #: With more nodes, each one's part of the load is small and notes to all cost more.
 MAX_NODES = 24
@@ -131,8 +131,8 @@
         self._remove((self.view.own.node_id, note.server, note.number))
         self.tell(ProgressNote(note.number, note.server, is_ended=True))
 
-    def tell(self, note: PlacementNote | ProgressNote | OrderNote) -> None:
-        """Tell the other nodes what a server was given, has done, or loads."""
+    def tell(self, note: Message) -> None:
+        """Tell the other nodes, while they are few enough."""
         members = self.view.get_serving()
         if len(members) > MAX_NODES:
             return
@@ -199,7 +199,7 @@
                 load.parts[(note.salt, part)] = (n_users - 1, n_tokens)
             else:
                 load.n_shared -= n_tokens
-        if not load.n_own and not load.parts:
+        if not (load.n_unread or load.n_own or load.parts):
             del self._loads[note.server]
 
     def _end_overdue(self) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -79,7 +79,7 @@
     is_outdated: bool = False
 
 
-def compute_crowding(
+def _compute_crowding(
     engine: Engine, choice: EngineChoice, prompt: Prompt, salt: str
 ) -> float:
     """Return the share of an engine's memory that runs take with one more.
@@ -246,7 +246,7 @@
     cost_s += choice.load.n_unread / PREFILL_TOKENS_PER_S
     cost_s += handle.n_in_flight * _STEP_COST_S
     if engine.kv_capacity_tokens:
-        crowding = compute_crowding(engine, choice, prompt, salt)
+        crowding = _compute_crowding(engine, choice, prompt, salt)
         cost_s += max(0.0, crowding - 0.5)
     cost_s += handle.get_failure_share(now) * _FAILURE_COST_S
     cost_s += _DOUBT_COST_S * choice.is_doubtful + _DOUBT_COST_S * choice.is_outdated
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -24,6 +24,7 @@
 )
 from apricotlift.forwarding.knowledge import Knowledge
 from apricotlift.forwarding.listeners import HttpServer, bind, build_server
+from apricotlift.forwarding.refusals import Refusals
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings, load_settings
@@ -38,6 +39,7 @@
     OrderNote,
     PlacementNote,
     ProgressNote,
+    RefusalNote,
 )
 
 #: A stopping node still takes requests this long, because clients keep its address.
@@ -199,6 +201,8 @@
     peers.server.register(PlacementNote, engine_loads.handle_placement)
     peers.server.register(ProgressNote, engine_loads.handle_progress)
     peers.server.register(OrderNote, engine_loads.handle_order)
+    refusals = Refusals(engine_loads.tell)
+    peers.server.register(RefusalNote, refusals.handle_note)
     bounds = settings.bounds
     return Runtime(
         settings,
@@ -212,6 +216,7 @@
         index,
         membership,
         engine_loads,
+        refusals,
     )
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -11,6 +11,7 @@
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.facts import Server
 from apricotlift.forwarding.knowledge import Knowledge
+from apricotlift.forwarding.refusals import Refusals
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import ForwardingSettings
 from apricotlift.forwarding.suspects import Suspects
@@ -39,6 +40,7 @@
     index: CacheIndex
     membership: Membership
     engine_loads: EngineLoads
+    refusals: Refusals
     random: Random = field(default_factory=Random)
     is_draining: bool = False
     is_stopping: bool = False
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/targets.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/targets.py
@@ -70,14 +70,9 @@
     request = run.request
     prompt = request.prompt
     choices = _list_choices(node, prompt.model, servers, now)
+    has_returned = node.refusals.has_returned(request)
     if run.n_attempts == 0:
-        check_room(
-            request,
-            run.service.name,
-            run.service.engine,
-            node.knowledge.configuration,
-            choices,
-        )
+        _check_room(node, run, choices, has_returned)
     placement = place(
         prompt,
         request.account,
@@ -96,7 +91,7 @@
     note_placed(placement, prompt, node.index)
     names = node.dialect.headers
     headers = [(names.cache_salt, placement.salt)]
-    headers.append((names.priority, str(choose_priority(request))))
+    headers.append((names.priority, str(choose_priority(request, has_returned))))
     if placement.weights is not None:
         headers.append((names.expected_weights, str(placement.weights)))
     is_apart = run.service.engine.takes_parts_apart
@@ -108,6 +103,23 @@
     return placement, dispatch
 
 
+def _check_room(
+    node: Runtime, run: Run, choices: list[EngineChoice], has_returned: bool
+) -> None:
+    try:
+        check_room(
+            run.request,
+            run.service.name,
+            run.service.engine,
+            node.knowledge.configuration,
+            choices,
+            has_returned,
+        )
+    except ApricotliftError:
+        node.refusals.add(run.request)
+        raise
+
+
 def _list_choices(
     node: Runtime, model: str, servers: list[Server], now: float
 ) -> list[EngineChoice]:
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -331,6 +331,17 @@
     server: str
 
 
+@dataclass(frozen=True)
+class RefusalNote(Message):
+    """Tells peers that a request was refused, and will come back.
+
+    :param request: what it has in common with the one that comes back.
+    """
+
+    kind: ClassVar[str] = "refusal_note"
+    request: str
+
+
 @dataclass(frozen=True)
 class ClaimItem(Record):
     """One claim write of a group commit.
@@ -413,6 +424,7 @@
         LoadNote,
         PlacementNote,
         ProgressNote,
+        RefusalNote,
         OrderNote,
         WriteClaims,
         WriteClaimsReply,
