--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -74,6 +74,7 @@
     When a client following "<script>" gets "/lookup/a" from "n1"
     And the client gets "/lookup/b" 6 times from "n1"
     Then each client gets the answer to its own request
+    And no request was sent twice
 
     Examples:
       | script |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -312,6 +312,12 @@
     assert len(set(seen)) == n, seen
 
 
+@then("no request was sent twice")
+def step_sent_once(context):
+    ids = [entry["id"] for entry in read_seen(context)["seen"]]
+    assert len(set(ids)) == len(ids), ids
+
+
 @then("each client gets the answer to its own request")
 def step_own_answers(context):
     for request_id, (status, _, body) in context.answers:
