Take over a settings change that comes right after the start

The node's log was kept: listening at 13:10:20.466, the file changed at 20.504, no reload until the stop at 50.5. Cause: the watch took as known what it read itself, in a task that starts after the listeners; a change before that read was never taken over. Ruled out: a refused file (no settings_refused line), a log line left out (30 lines in all). Change: the node reads the file's content before its settings, and the watch compares with that. The new scenario failed with the watch reading the file itself (60 passed, 1 failed) and passes now (61 passed).

Also gone, without a change of behaviour: the value that check_room returned and nobody read, and an unused field of EngineLoads.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/admission.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/admission.py
@@ -40,8 +40,8 @@
     configuration: Configuration,
     choices: Sequence[EngineChoice],
     has_returned: bool,
-) -> float:
-    """Return how crowded the least crowded engine is with the request.
+) -> None:
+    """Refuse a prompt while runs take the memory of every engine.
 
     :param has_returned: whether the request was refused before.
     :raises ApricotliftError: ``overloaded``; nothing ran.
@@ -50,10 +50,10 @@
     usable = [c for c in choices if not (c.is_doubtful or c.is_outdated)]
     n_busy = _BUSY_SHARE * engine.kv_capacity_tokens
     if not usable or not engine.kv_capacity_tokens:
-        return 0.0
+        return
     if any(choice.load.n_running <= n_busy for choice in usable):
         # A large prompt alone fills an engine, and yet it can begin at once.
-        return 0.0
+        return
     n_more = min(prompt.n_own, _OWN_SHARE_MAX * engine.kv_capacity_tokens)
     n_least = min(choice.load.n_running for choice in usable)
     share = (n_least + n_more) / engine.kv_capacity_tokens
@@ -69,7 +69,6 @@
         raise ApricotliftError(
             Code.OVERLOADED, message, Ran.NO, Scope.FLEET, _RETRY_AFTER_S
         )
-    return share
 
 
 def choose_priority(request: ClientRequest, has_returned: bool) -> int:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/engineloads.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/engineloads.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass, field
 
 from apricotlift.core import clocks
-from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.facts import Server
 from apricotlift.state.view import MembershipView
 from apricotlift.wire.connections import PeerPool
@@ -80,7 +79,6 @@
     expect_part: Callable[[str, str, str], None]
     note_loading: Callable[[str], None]
     peers: PeerPool
-    metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     _loads: dict[str, EngineLoad] = field(
         default_factory=lambda: defaultdict(EngineLoad)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -27,7 +27,11 @@
 from apricotlift.forwarding.refusals import Refusals
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
-from apricotlift.forwarding.settings import ForwardingSettings, load_settings
+from apricotlift.forwarding.settings import (
+    ForwardingSettings,
+    load_settings,
+    watch_settings,
+)
 from apricotlift.forwarding.storecare import StoreCare
 from apricotlift.forwarding.suspects import Suspects
 from apricotlift.forwarding.weights import WeightOrders
@@ -47,7 +51,6 @@
 #: Left of the grace period for the end of the process itself.
 _GRACE_MARGIN_S = 0.8
 _POLL_S = 0.05
-_SETTINGS_POLL_S = 1.0
 _SWEEP_S = 1.0
 
 
@@ -60,6 +63,8 @@
 
     :param build_store: builds the client of the platform's store.
     """
+    # Read before the settings are, so that no change between the two is missed.
+    content = await anyio.Path(settings_path).read_bytes()
     settings = load_settings(settings_path)
     logs.log(logs.INFO, "starting", settings=settings_path)
     metrics = Metrics()
@@ -107,7 +112,12 @@
         ):
             tasks.start_soon(job)
         tasks.start_soon(_sweep, node)
-        tasks.start_soon(_watch_settings, node, settings_path)
+        tasks.start_soon(
+            watch_settings,
+            settings_path,
+            content,
+            lambda: _reload(node, settings_path, "file_changed"),
+        )
         fronts = _start_listeners(node, sockets)
         await _wait_for_stop(node, settings_path)
         await _stop(node, fronts, orders)
@@ -195,9 +205,7 @@
         if server is not None:
             handles.note_loading(server)
 
-    engine_loads = EngineLoads(
-        membership.view, index.expect, note_loading, peers.pool, metrics
-    )
+    engine_loads = EngineLoads(membership.view, index.expect, note_loading, peers.pool)
     peers.server.register(PlacementNote, engine_loads.handle_placement)
     peers.server.register(ProgressNote, engine_loads.handle_progress)
     peers.server.register(OrderNote, engine_loads.handle_order)
@@ -292,21 +300,6 @@
         node.metrics.gauge("configuration_age_s", node.knowledge.operator_feed.age_s)
 
 
-async def _watch_settings(node: Runtime, path: str) -> None:
-    """Take over a settings file that changed without a signal."""
-    known = await anyio.Path(path).read_bytes()
-    while True:
-        await anyio.sleep(_SETTINGS_POLL_S)
-        try:
-            content = await anyio.Path(path).read_bytes()
-        except OSError as error:
-            logs.log(logs.WARNING, "settings_unreadable", reason=str(error))
-            continue
-        if content != known:
-            known = content
-            _reload(node, path, "file_changed")
-
-
 def _reload(node: Runtime, path: str, cause: str) -> None:
     try:
         settings = load_settings(path)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -1,9 +1,12 @@
 """Settings of a forwarding node: an INI file, checked as a whole."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Annotated
 
+import anyio
+from apricotlift.core import logs
 from apricotlift.core.findings import Findings
 from apricotlift.core.inifile import build_sections, read_ini, require_sections
 from pydantic import BaseModel, Field
@@ -67,6 +70,7 @@
     "bounds": BoundsModel,
 }
 _REQUIRED = ("node", "listen", "store")
+_POLL_S = 1.0
 
 
 def load_settings(path: str | Path) -> ForwardingSettings:
@@ -84,3 +88,22 @@
     require_sections(built, _REQUIRED, path, findings)
     findings.raise_if_any()
     return ForwardingSettings(**built)
+
+
+async def watch_settings(
+    path: str | Path, known: bytes, reload: Callable[[], None]
+) -> None:
+    """Call ``reload`` after each change of the file, for ever.
+
+    :param known: content that is in force; a change since it was read counts too.
+    """
+    while True:
+        try:
+            content = await anyio.Path(path).read_bytes()
+        except OSError as error:
+            logs.log(logs.WARNING, "settings_unreadable", reason=str(error))
+        else:
+            if content != known:
+                known = content
+                reload()
+        await anyio.sleep(_POLL_S)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/settings.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/settings.feature
@@ -14,3 +14,10 @@
   Scenario: A missing address is a finding
     Given a settings file with "callers" empty
     Then the findings name "callers" with its line
+
+  # Guards against: a change that is never taken over, because it came after the node
+  # had read its settings and before it watched the file.
+  Scenario: A change before the first look at the file is taken over
+    Given a settings file with "weights_ms" empty
+    When it changes, and its former content is in force
+    Then the settings are taken over once
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/engineloads_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/engineloads_steps.py
@@ -1,7 +1,6 @@
 from types import SimpleNamespace
 
 import anyio
-from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.facts import Server
 from apricotlift.forwarding.tests.forwarding_fakes import Clock
@@ -26,7 +25,6 @@
         lambda *place: context.expected.append(place),
         context.loading.append,
         peers,
-        Metrics(),
         context.clock,
     )
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/settings_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/settings_steps.py
@@ -1,9 +1,10 @@
 import tempfile
 from pathlib import Path
 
+import anyio
 from apricotlift.core.errors import ApricotliftError
-from apricotlift.forwarding.settings import BoundsModel, load_settings
-from behave import given, then
+from apricotlift.forwarding.settings import BoundsModel, load_settings, watch_settings
+from behave import given, then, when
 
 _TEXT = """[node]
 name = n
@@ -27,6 +28,7 @@
     path = Path(tempfile.mkdtemp()) / "node.ini"
     path.write_text(_TEXT.format(callers=callers, weights_ms=weights_ms, extra=extra))
     context.findings = []
+    context.path = path
     try:
         context.settings = load_settings(path)
     except ApricotliftError as error:
@@ -48,6 +50,27 @@
     load(context, callers="")
 
 
+@when("it changes, and its former content is in force")
+def step_change(context):
+    former = context.path.read_bytes()
+    context.path.write_bytes(former + b"n_retries = 7\n")
+    context.n_reloads = 0
+
+    async def watch():
+        with anyio.move_on_after(1.5):
+            await watch_settings(context.path, former, note)
+
+    def note():
+        context.n_reloads += 1
+
+    anyio.run(watch)
+
+
+@then("the settings are taken over once")
+def step_taken_over(context):
+    assert context.n_reloads == 1, context.n_reloads
+
+
 @then('the settings have the default for "{key}"')
 def step_default(context, key):
     assert not context.findings, context.findings
