Bound the bytes of a response in its head, its framing, its events and its body

Cause: httpcore limits one line and one header block, but reads interim responses without limit, and counts nothing of a chunk's extensions. A body without end was held up to 32 MiB, several at once in a process of 160 MB; an event that never ends and events without an id restarted the time limit of the next event; junk in a head counted as a broken connection, and so as a possible crash.

Change: connections count what they read (upstreams/boundedstreams), all responses of a process share one budget sized from [limits] memory_mb (upstreams/readbudget), the two clients share the reading of bodies (upstreams/bodies), the time limit of a stream runs to the next complete event, a whole response has to be complete within its attempt, and an event without an id ends the attempt.

--- a/features/forwardingfleet.py
+++ b/features/forwardingfleet.py
@@ -110,6 +110,7 @@
     text += "".join(f"{key} = 127.0.0.1:{port}\n" for key, port in ports.items())
     text += f"\n[store]\naddress = {context.store_address}\n"
     text += f"\n[bounds]\ngrace_s = 8\nretry_share = {retry_share}\n"
+    text += "\n[limits]\nmemory_mb = 64\n"
     return context.processes.write_file(f"{name}.ini", text)
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -15,6 +15,7 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.dialect import CacheEvents, Dialect
 from apricotlift.upstreams.persistentconnections import HttpCall, PersistentConnections
+from apricotlift.upstreams.readbudget import ReadBudget
 
 POLL_MS = 1000
 _RESPONSE_MARGIN_S = 0.7
@@ -113,6 +114,7 @@
     :param own_name: name of this node.
     :param list_holders: returns the engines and stores of the configuration.
     :param list_live_nodes: returns the names of the live nodes, this one included.
+    :param budget: memory that all responses being read share.
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         list_live_nodes: Callable[[], list[str]],
         metrics: Metrics,
         clock: Callable[[], float] = clocks.monotonic,
+        budget: ReadBudget | None = None,
     ):
         self.held: dict[str, HeldParts] = {}
         self._own_name = own_name
@@ -131,6 +134,7 @@
         self._list_live_nodes = list_live_nodes
         self._metrics = metrics
         self._clock = clock
+        self._budget = budget or ReadBudget()
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     def find_holders(self, salt: str, part_id: str) -> list[tuple[HeldParts, int]]:
@@ -207,7 +211,9 @@
         return self._own_name in rank_nodes(holder.address, nodes)[:n_readers]
 
     async def _follow(self, held: HeldParts, scope: anyio.CancelScope) -> None:
-        connections = PersistentConnections(held.holder.address, 1, self._metrics)
+        connections = PersistentConnections(
+            held.holder.address, 1, self._metrics, self._budget
+        )
         pause_s = _PAUSE_S
         with scope:
             while True:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/events.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/events.py
@@ -9,10 +9,13 @@
 from dataclasses import dataclass
 
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.upstreams.readbudget import Reservation
 
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 262_144
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+#: The end of an event may be split over chunks, except for its last byte.
+_N_OVERLAP = 3
 
 
 @dataclass(frozen=True)
@@ -33,28 +36,46 @@
     b'id:'
     """
 
-    def __init__(self):
-        self.remainder = b""
+    def __init__(self, reservation: Reservation | None = None):
+        """Start with an empty buffer.
+
+        :param reservation: memory for an event that isn't complete yet.
+        """
+        self._reservation = reservation
+        self._buffer = bytearray()
+
+    @property
+    def remainder(self) -> bytes:
+        """The bytes after the last complete event."""
+        return bytes(self._buffer)
 
     def feed(self, chunk: bytes) -> list[ServerSentEvent]:
         """Return the events that this chunk completes.
 
-        :raises ApricotliftError: ``upstream_protocol`` if an event is too large.
+        :raises ApricotliftError: ``upstream_protocol`` if an event is too large, and
+            the errors of the reservation.
         """
-        self.remainder += chunk
+        searched_to = max(0, len(self._buffer) - _N_OVERLAP)
+        self._buffer += chunk
         events = []
         event_start = 0
-        for match in _EVENT_END.finditer(self.remainder):
-            data = self.remainder[event_start : match.end()]
+        for match in _EVENT_END.finditer(self._buffer, searched_to):
+            data = bytes(self._buffer[event_start : match.end()])
             event_start = match.end()
             events.append(ServerSentEvent(data, _find_event_id(data)))
-        self.remainder = self.remainder[event_start:]
-        if len(self.remainder) > MAX_EVENT_BYTES:
+        del self._buffer[:event_start]
+        self._check_size()
+        return events
+
+    def _check_size(self) -> None:
+        n_bytes = len(self._buffer)
+        if n_bytes > MAX_EVENT_BYTES:
             message = f"an event in the stream exceeds {MAX_EVENT_BYTES} bytes"
             raise ApricotliftError(
                 Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
             )
-        return events
+        if self._reservation is not None:
+            self._reservation.resize(n_bytes)
 
 
 def _find_event_id(data: bytes) -> str | None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -41,6 +41,7 @@
 from apricotlift.forwarding.weightrollout import WeightRollout
 from apricotlift.state.membership import Membership
 from apricotlift.state.view import MemberState
+from apricotlift.upstreams.readbudget import ReadBudget, compute_budget_bytes
 from apricotlift.wire.connections import PeerPool, PeerServer
 from apricotlift.wire.messages import (
     MemberSummary,
@@ -62,7 +63,7 @@
 async def run_node(
     settings_path: str,
     dialect: Dialect,
-    build_store: Callable[[ForwardingSettings, Metrics], "StorePort"],
+    build_store: Callable[[ForwardingSettings, Metrics, ReadBudget], "StorePort"],
 ) -> None:
     """Run a node until it is stopped by a signal.
 
@@ -78,7 +79,9 @@
     metrics = Metrics()
     sockets = _bind_listeners(settings)
     async with AsyncExitStack() as stack:
-        store = build_store(settings, metrics)
+        memory_bytes = int(settings.limits.memory_mb * 1_000_000)
+        budget = ReadBudget(compute_budget_bytes(memory_bytes))
+        store = build_store(settings, metrics, budget)
         stack.push_async_callback(store.close)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
@@ -92,7 +95,14 @@
         )
         membership = peer_network.membership
         node = _build_runtime(
-            settings, dialect, metrics, tasks, routing_state, store, peer_network
+            settings,
+            dialect,
+            metrics,
+            tasks,
+            routing_state,
+            store,
+            peer_network,
+            budget,
         )
         stack.push_async_callback(node.handles.close)
         weight_rollout = WeightRollout(
@@ -113,6 +123,7 @@
             node.cache_index,
             lambda: list(membership.view.get_eligible()),
             metrics,
+            budget=budget,
         )
         for run_task in (
             store_cleaner.run,
@@ -185,7 +196,7 @@
 
 
 def _build_runtime(
-    settings, dialect, metrics, tasks, routing_state, store, peer_network
+    settings, dialect, metrics, tasks, routing_state, store, peer_network, budget
 ) -> Runtime:
     membership = peer_network.membership
 
@@ -207,8 +218,9 @@
         list_holders,
         lambda: list(membership.view.get_eligible()),
         metrics,
+        budget=budget,
     )
-    handles = ServerHandles(metrics, get_n_connections)
+    handles = ServerHandles(metrics, get_n_connections, budget=budget)
 
     def note_loading(server_id: str) -> None:
         server = routing_state.servers.get(server_id)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -165,13 +165,12 @@
     request_state.n_attempts += 1
     request_state.server_id = handle.server.server_id
     _log_attempt(node, request_state, handle, placement)
+    timeout_s = get_response_timeout_s(request_state)
+    due_at = clocks.monotonic() + timeout_s
     async with (
         track_attempt(node, request_state, handle, placement) as tracker,
         open_attempt(
-            node.dialect.headers,
-            request,
-            dispatch,
-            get_response_timeout_s(request_state),
+            node.dialect.headers, request, dispatch, timeout_s
         ) as upstream_response,
     ):
         is_stream = request.route.is_stream and is_event_stream(upstream_response)
@@ -180,7 +179,9 @@
                 request_state, upstream_response, response, tracker
             )
         else:
-            await forward_buffered_response(request_state, upstream_response, response)
+            await forward_buffered_response(
+                request_state, upstream_response, response, due_at
+            )
     request_state.outcome = request_state.outcome or str(upstream_response.status)
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -1,11 +1,13 @@
 """Forwards a server's response to the client, as a whole or event by event."""
 
+import math
 from collections.abc import AsyncIterator
 
 import anyio
+from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.attempttracking import AttemptTracker
-from apricotlift.forwarding.events import EventSplitter
+from apricotlift.forwarding.events import EventSplitter, ServerSentEvent
 from apricotlift.forwarding.requeststate import (
     BufferedResponse,
     ClientResponse,
@@ -15,6 +17,7 @@
 from apricotlift.upstreams.persistentconnections import StreamedResponse
 from apricotlift.upstreams.service import HOP_BY_HOP_HEADERS
 
+#: Largest whole response that is forwarded; a small machine's budget allows less.
 MAX_RESPONSE_BYTES = 33_554_432
 
 #: While another attempt is possible, one attempt may take this share of the time that
@@ -61,16 +64,19 @@
     request_state: RequestState,
     upstream_response: StreamedResponse,
     response: ClientResponse,
+    due_at: float,
 ) -> None:
     """Read a response to its end and send it to the client.
 
     A server error (status 500 or higher) is stored in ``request_state`` instead while
     another server may be tried.
 
+    :param due_at: time on the clock of :mod:`apricotlift.core.clocks` at which the
+        attempt is over.
     :raises ApricotliftError: if the response is incomplete, is a server error and
         another attempt is possible, or can't continue a stream that has been started.
     """
-    body = await upstream_response.read(MAX_RESPONSE_BYTES)
+    body = await _read_until(request_state, upstream_response, due_at)
     buffered = BufferedResponse(
         upstream_response.status, _select_headers(upstream_response), body
     )
@@ -92,6 +98,15 @@
     await response.send_complete(buffered.status, buffered.headers, buffered.body)
 
 
+async def _read_until(
+    request_state: RequestState, upstream_response: StreamedResponse, due_at: float
+) -> bytes:
+    with anyio.move_on_after(max(0.0, due_at - clocks.monotonic())):
+        return await upstream_response.read(MAX_RESPONSE_BYTES)
+    message = f"{request_state.server_id} didn't complete its response in time"
+    raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
+
+
 async def forward_event_stream(
     request_state: RequestState,
     upstream_response: StreamedResponse,
@@ -100,28 +115,30 @@
 ) -> None:
     """Send complete events as they arrive, and skip those that the client already has.
 
-    :raises ApricotliftError: if the stream ends early or inside an event.
+    :raises ApricotliftError: if the stream ends early, inside an event, or contains
+        something else than numbered events.
     """
-    splitter = EventSplitter()
-    chunks = upstream_response.iterate().__aiter__()
-    while True:
-        chunk = await _read_chunk(request_state, chunks, tracker.has_first_event)
-        if chunk is None:
-            break
-        events = splitter.feed(chunk)
-        data = b"".join(
-            event.data
-            for event in events
-            if _record_if_new(request_state, event.event_id)
-        )
-        if not data:
-            continue
-        tracker.note_first_event()
-        if not response.is_started:
-            await response.start(
-                upstream_response.status, _select_headers(upstream_response)
+    with upstream_response.budget.open_reservation() as reservation:
+        splitter = EventSplitter(reservation)
+        chunks = upstream_response.iterate().__aiter__()
+        due_at = _get_event_due_at(request_state, tracker)
+        while True:
+            chunk = await _read_chunk(request_state, chunks, due_at)
+            if chunk is None:
+                break
+            events = splitter.feed(chunk)
+            data = b"".join(
+                event.data for event in events if _record_if_new(request_state, event)
             )
-        await response.send_chunk(data)
+            if not data:
+                continue
+            tracker.note_first_event()
+            due_at = _get_event_due_at(request_state, tracker)
+            if not response.is_started:
+                await response.start(
+                    upstream_response.status, _select_headers(upstream_response)
+                )
+            await response.send_chunk(data)
     if splitter.remainder.strip():
         message = (
             f"{request_state.server_id} ended its stream in the middle of an event"
@@ -134,36 +151,46 @@
     await response.finish()
 
 
-async def _read_chunk(
-    request_state: RequestState, chunks: AsyncIterator[bytes], has_first_event: bool
-) -> bytes | None:
-    """Return the next chunk of the stream, or ``None`` at its end.
+def _get_event_due_at(request_state: RequestState, tracker: AttemptTracker) -> float:
+    """Return the time by which the next complete event has to arrive.
 
-    A time limit applies only if another server can resume the stream.
-
-    :raises ApricotliftError: ``upstream_silent`` if the time limit is exceeded.
+    A limit applies only if another server can resume the stream.
     """
     if not request_state.may_try_another:
-        return await anext(chunks, None)
+        return math.inf
     route = request_state.request.route
     timeout_s = max(_MIN_EVENT_GAP_TIMEOUT_S, _EVENT_GAP_FACTOR * route.target_gap_s)
-    if not has_first_event:
+    if not tracker.has_first_event:
         timeout_s = max(timeout_s, _FIRST_EVENT_LATENCY_FACTOR * route.target_latency_s)
-    with anyio.move_on_after(timeout_s) as scope:
+    return clocks.monotonic() + timeout_s
+
+
+async def _read_chunk(
+    request_state: RequestState, chunks: AsyncIterator[bytes], due_at: float
+) -> bytes | None:
+    """Return the next chunk of the stream, or ``None`` at its end.
+
+    :raises ApricotliftError: ``upstream_silent`` if no event is complete by ``due_at``.
+    """
+    with anyio.move_on_after(max(0.0, due_at - clocks.monotonic())):
         return await anext(chunks, None)
-    if scope.cancelled_caught:
-        message = f"{request_state.server_id} sent no data for {timeout_s:.2f} s"
-        raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
-    return None
+    message = f"{request_state.server_id} sent no complete event in time"
+    raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
 
 
-def _record_if_new(request_state: RequestState, event_id: str | None) -> bool:
+def _record_if_new(request_state: RequestState, event: ServerSentEvent) -> bool:
     """Record the event's id unless the client already has the event.
 
-    :returns: whether the event has to be sent; always true for events without an id.
+    :returns: whether the event has to be sent.
+    :raises ApricotliftError: ``upstream_protocol`` for an event without an id. Servers
+        number all events, so these bytes are no part of the response.
     """
+    event_id = event.event_id
     if event_id is None:
-        return True
+        message = f"{request_state.server_id} sent an event without an id"
+        raise ApricotliftError(
+            Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
+        )
     last_id = request_state.last_event_id
     is_numbered = last_id is not None and last_id.isdigit() and event_id.isdigit()
     if is_numbered and int(event_id) <= int(last_id):
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
@@ -14,6 +14,7 @@
 from apricotlift.forwarding.entities import Server
 from apricotlift.policy.breaker import Breaker, BreakerSettings
 from apricotlift.upstreams.persistentconnections import PersistentConnections
+from apricotlift.upstreams.readbudget import ReadBudget
 
 BREAKER_SETTINGS = BreakerSettings(
     n_consecutive_failures=3,
@@ -92,11 +93,13 @@
 
     :param get_n_connections: returns how many connections this node may open to each
         server of a service, by the service's name.
+    :param budget: memory that all responses being read share.
     """
 
     metrics: Metrics
     get_n_connections: Callable[[str], int]
     clock: Callable[[], float] = clocks.monotonic
+    budget: ReadBudget = field(default_factory=ReadBudget)
     _handles: dict[tuple, ServerHandle] = field(default_factory=dict)
 
     def get(self, server: Server) -> ServerHandle:
@@ -104,7 +107,10 @@
         handle = self._handles.get(server.incarnation)
         if handle is None:
             connections = PersistentConnections(
-                server.address, self.get_n_connections(server.service), self.metrics
+                server.address,
+                self.get_n_connections(server.service),
+                self.metrics,
+                self.budget,
             )
             handle = ServerHandle(server, connections, Breaker(BREAKER_SETTINGS))
             self._handles[server.incarnation] = handle
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -53,6 +53,12 @@
     directory_ttl_max_s: Seconds = 5.0
 
 
+class LimitsModel(BaseModel):
+    """The section ``[limits]``: what the process may use of its machine."""
+
+    memory_mb: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 300.0
+
+
 @dataclass(frozen=True)
 class ForwardingSettings:
     """All settings of a node; each attribute holds one section of the file."""
@@ -61,6 +67,7 @@
     listen: ListenModel
     store: StoreModel
     bounds: BoundsModel = field(default_factory=BoundsModel)
+    limits: LimitsModel = field(default_factory=LimitsModel)
 
 
 _SECTION_MODELS: dict[str, type[BaseModel]] = {
@@ -68,6 +75,7 @@
     "listen": ListenModel,
     "store": StoreModel,
     "bounds": BoundsModel,
+    "limits": LimitsModel,
 }
 _REQUIRED_SECTIONS = ("node", "listen", "store")
 _FILE_POLL_INTERVAL_S = 1.0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecleaner.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecleaner.py
@@ -19,6 +19,7 @@
 from apricotlift.forwarding.placement import compute_cache_salt
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.upstreams.persistentconnections import HttpCall, PersistentConnections
+from apricotlift.upstreams.readbudget import ReadBudget
 
 #: After this time out of use, no request still fetches parts of a salt: a fetch that
 #: would wait over two seconds isn't started, and requests on replaced weights fetch
@@ -37,6 +38,7 @@
 
     :param own_name: name of this node.
     :param list_live_nodes: returns the names of the live nodes, this one included.
+    :param budget: memory that all responses being read share.
     """
 
     own_name: str
@@ -46,6 +48,7 @@
     list_live_nodes: Callable[[], list[str]]
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
+    budget: ReadBudget = field(default_factory=ReadBudget)
     _unused_since: dict[tuple[str, int, str], float] = field(default_factory=dict)
 
     async def run(self) -> None:
@@ -112,7 +115,9 @@
 
     async def _free_parts(self, held: HeldParts, parts: list[tuple[str, str]]) -> None:
         call = self.dialect.build_free_call(held.boot, parts)
-        connections = PersistentConnections(held.holder.address, 1, self.metrics)
+        connections = PersistentConnections(
+            held.holder.address, 1, self.metrics, self.budget
+        )
         try:
             response = await connections.request(
                 HttpCall(call.method, call.target, call.headers, call.body),
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
@@ -16,11 +16,15 @@
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.core.metrics import Metrics
-from apricotlift.upstreams.pool import (
+from apricotlift.upstreams.bodies import (
     TRANSPORT_ERRORS,
-    Response,
     convert_transport_error,
+    iterate_body,
+    read_body,
 )
+from apricotlift.upstreams.boundedstreams import BoundedBackend
+from apricotlift.upstreams.pool import Response
+from apricotlift.upstreams.readbudget import ReadBudget
 
 #: Longest idle time of a connection whose server states no keep-alive timeout.
 DEFAULT_IDLE_S = 4.0
@@ -61,10 +65,14 @@
 
 
 class StreamedResponse:
-    """A response whose body is read from the connection as it arrives."""
+    """A response whose body is read from the connection as it arrives.
 
-    def __init__(self, raw: httpcore.Response):
+    :param budget: memory that all responses being read share.
+    """
+
+    def __init__(self, raw: httpcore.Response, budget: ReadBudget):
         self._raw = raw
+        self.budget = budget
         self.status = raw.status
         self.headers: Headers = [
             (name.decode("latin-1").lower(), value.decode("latin-1"))
@@ -78,34 +86,19 @@
                 return value
         return None
 
-    async def iterate(self) -> AsyncIterator[bytes]:
+    def iterate(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
 
-        :raises ApricotliftError: ``stream_broken`` or ``upstream_timeout``.
+        :raises ApricotliftError: as :func:`~.bodies.iterate_body`.
         """
-        try:
-            async for chunk in self._raw.aiter_stream():
-                yield chunk
-        except TRANSPORT_ERRORS as error:
-            raise convert_transport_error(error) from error
+        return iterate_body(self._raw)
 
     async def read(self, max_bytes: int) -> bytes:
         """Return the whole body.
 
-        :raises ApricotliftError: ``upstream_protocol`` for a body longer than
-            ``max_bytes``, ``stream_broken`` or ``upstream_timeout``.
+        :raises ApricotliftError: as :func:`~.bodies.read_body`.
         """
-        chunks = []
-        n_bytes = 0
-        async for chunk in self.iterate():
-            n_bytes += len(chunk)
-            if n_bytes > max_bytes:
-                message = f"response body exceeds {max_bytes} bytes"
-                raise ApricotliftError(
-                    Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return await read_body(self._raw, max_bytes, self.budget)
 
 
 @dataclass
@@ -120,13 +113,15 @@
     """A pool of connections to one address.
 
     :param address: ``IP:PORT``.
-    :param n_max: maximum number of connections that this process may have open.
+    :param n_connections_max: maximum number of connections that may be open.
+    :param budget: memory that all responses being read share.
     :param n_open: number of open connections, idle or in use.
     """
 
     address: str
     n_connections_max: int
     metrics: Metrics
+    budget: ReadBudget = field(default_factory=ReadBudget)
     n_open: int = 0
     _idle: list[_PooledConnection] = field(default_factory=list)
 
@@ -154,7 +149,7 @@
             except TRANSPORT_ERRORS as error:
                 raise convert_transport_error(error) from error
             stack.push_async_callback(_close_response, raw)
-            response = StreamedResponse(raw)
+            response = StreamedResponse(raw, self.budget)
             pooled.idle_limit_s = _decode_idle_limit_s(response)
             yield response
 
@@ -249,7 +244,7 @@
     address: str, timeout_s: float
 ) -> httpcore.AsyncHTTP11Connection:
     host, _, port = address.rpartition(":")
-    stream = await httpcore.AnyIOBackend().connect_tcp(
+    stream = await BoundedBackend().connect_tcp(
         host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
     )
     origin = httpcore.Origin(b"http", host.encode(), int(port))
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 connection pools for upstreams, KV stores and the platform.
 
-Transport failures are converted to :class:`ApricotliftError`. Its ``ran`` attribute
-tells whether the request may have run: it certainly did not if no connection could be
-opened.
+Transport failures are converted to
+:class:`~apricotlift.core.errors.ApricotliftError`. Its ``ran`` attribute tells whether
+the request may have run: it certainly did not if no connection could be opened.
 """
 
 import importlib.util
@@ -13,7 +13,14 @@
 from dataclasses import dataclass
 
 import httpcore
-from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.upstreams.bodies import (
+    TRANSPORT_ERRORS,
+    convert_transport_error,
+    iterate_body,
+    read_body,
+)
+from apricotlift.upstreams.boundedstreams import BoundedBackend
+from apricotlift.upstreams.readbudget import ReadBudget
 
 # httpcore tries to import sniffio several times per request. If sniffio isn't
 # installed, each attempt searches all of sys.path; a None entry in sys.modules makes it
@@ -52,50 +59,42 @@
 class ResponseStream:
     """A response whose body is read as it arrives."""
 
-    def __init__(self, raw: httpcore.Response):
+    def __init__(self, raw: httpcore.Response, budget: ReadBudget):
         self._raw = raw
+        self._budget = budget
         self.status = raw.status
         self.headers = _decode_headers(raw.headers)
 
-    async def iterate(self) -> AsyncIterator[bytes]:
+    def iterate(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body as they arrive.
 
-        :raises ApricotliftError: ``stream_broken`` or ``upstream_timeout``.
+        :raises ApricotliftError: as :func:`~.bodies.iterate_body`.
         """
-        try:
-            async for chunk in self._raw.aiter_stream():
-                yield chunk
-        except TRANSPORT_ERRORS as error:
-            raise convert_transport_error(error) from error
+        return iterate_body(self._raw)
 
     async def read(self, max_bytes: int) -> bytes:
         """Return the whole body.
 
-        :raises ApricotliftError: ``upstream_protocol`` for a body longer than
-            ``max_bytes``, ``stream_broken`` or ``upstream_timeout``.
+        :raises ApricotliftError: as :func:`~.bodies.read_body`.
         """
-        chunks = []
-        n_bytes = 0
-        async for chunk in self.iterate():
-            n_bytes += len(chunk)
-            if n_bytes > max_bytes:
-                message = f"response body exceeds {max_bytes} bytes"
-                raise ApricotliftError(
-                    Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return await read_body(self._raw, max_bytes, self._budget)
 
 
 class Pool:
     """Connection pools for any number of addresses.
 
     :param ssl_context: verifies the certificates of servers with ``https`` URLs.
+    :param budget: memory that all bodies being read share.
     """
 
-    def __init__(self, ssl_context: ssl.SSLContext | None = None):
+    def __init__(
+        self,
+        ssl_context: ssl.SSLContext | None = None,
+        budget: ReadBudget | None = None,
+    ):
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
         self._ssl_context = ssl_context
+        self._budget = budget or ReadBudget()
 
     async def __aenter__(self) -> "Pool":
         return self
@@ -120,7 +119,7 @@
                 max_connections=MAX_CONNECTIONS,
                 max_keepalive_connections=MAX_IDLE_CONNECTIONS,
                 keepalive_expiry=KEEPALIVE_S,
-                network_backend=httpcore.AnyIOBackend(),
+                network_backend=BoundedBackend(),
             )
         return pool
 
@@ -165,13 +164,13 @@
             async with self._open_single_use_pool(url) as connection:
                 raw = await _send(connection, request)
                 try:
-                    yield ResponseStream(raw)
+                    yield ResponseStream(raw, self._budget)
                 finally:
                     await _close(raw)
             return
         raw = await _send(self._get_pool(url), request)
         try:
-            yield ResponseStream(raw)
+            yield ResponseStream(raw, self._budget)
         finally:
             await _close(raw)
 
@@ -199,19 +198,12 @@
         pool = httpcore.AsyncConnectionPool(
             ssl_context=self._ssl_context,
             max_connections=1,
-            network_backend=httpcore.AnyIOBackend(),
+            network_backend=BoundedBackend(),
         )
         async with pool:
             yield pool
 
 
-TRANSPORT_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-)
-
-
 async def _send(
     pool: httpcore.AsyncConnectionPool, request: httpcore.Request
 ) -> httpcore.Response:
@@ -226,21 +218,6 @@
         await raw.aclose()
 
 
-def convert_transport_error(error: Exception) -> ApricotliftError:
-    """Return the error for a transport failure, with ``ran`` as far as it is known."""
-    name = type(error).__name__
-    text = f"{name}: {error}" if str(error) else name
-    if isinstance(error, httpcore.ConnectError | httpcore.ConnectTimeout):
-        return ApricotliftError(Code.UPSTREAM_CONNECT, text, Ran.NO, Scope.UPSTREAM)
-    if isinstance(error, httpcore.PoolTimeout):
-        return ApricotliftError(Code.UPSTREAM_FULL, text, Ran.NO, Scope.UPSTREAM)
-    if isinstance(error, httpcore.LocalProtocolError):
-        return ApricotliftError(Code.BAD_REQUEST, text, Ran.NO)
-    if isinstance(error, httpcore.TimeoutException):
-        return ApricotliftError(Code.UPSTREAM_TIMEOUT, text, Ran.MAYBE, Scope.UPSTREAM)
-    return ApricotliftError(Code.STREAM_BROKEN, text, Ran.MAYBE, Scope.UPSTREAM)
-
-
 def _decode_headers(raw: list[tuple[bytes, bytes]]) -> dict[str, str]:
     return {
         key.decode("latin-1").lower(): value.decode("latin-1") for key, value in raw
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
@@ -37,6 +37,21 @@
     When a peer request is sent to it
     Then the peer request fails with peer_unauthenticated
 
+  Scenario Outline: A listener that sends bytes without end is given up
+    Guards against a node that reads from an address which another program has taken over
+    until its memory is full.
+    Given a listener that sends without end in its <place>
+    When a peer request is sent to the endless listener
+    Then the peer request fails with peer_unreachable
+    And the endless listener saw its connection closed
+
+    Examples:
+      | place             |
+      | status_line       |
+      | headers           |
+      | interim_responses |
+      | body              |
+
   Scenario Outline: A member that sends an invalid frame is disconnected and the others are served
     Guards against <fault> from one member that ends the server or another member's
     connection.
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
@@ -11,6 +11,7 @@
 import ssl
 
 import anyio
+from anyio.abc import SocketAttribute
 from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError, Code, Ran
 from apricotlift.core.metrics import Metrics
@@ -38,6 +39,8 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
 
+from standins.endless import EndlessState, send_without_end
+
 SECRET = b"cluster secret of the tests"
 MEMBER = Identity("node-b", "0002", "domain-2")
 STEP_TIMEOUT_S = 20
@@ -282,6 +285,37 @@
         context.error = await get_error(request_document(pool, context))
 
 
+@given("a listener that sends without end in its {place}")
+def prepare_endless_listener(context, place):
+    context.place = place
+    context.endless = EndlessState()
+
+
+@when("a peer request is sent to the endless listener")
+@run_in_event_loop
+async def request_from_endless_listener(context):
+    async def send(stream):
+        async with stream:
+            await stream.receive()
+            await send_without_end(stream, context.place, {}, context.endless)
+
+    context.metrics = Metrics()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    context.address = f"127.0.0.1:{port}"
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, send)
+        async with build_pool(context.metrics) as pool:
+            context.error = await get_error(request_document(pool, context))
+            await wait_until(lambda: context.endless.n_closed)
+        tasks.cancel_scope.cancel()
+
+
+@then("the endless listener saw its connection closed")
+def check_endless_closed(context):
+    assert context.endless.n_closed == {context.place: 1}, context.endless
+
+
 @then("the peer request fails with {code}")
 def check_error(context, code):
     assert context.error.code == code, context.error
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -19,6 +19,8 @@
 from anyio.abc import SocketStream
 from apricotlift.core import logs
 
+from standins.endless import EndlessState, send_without_end
+
 _EVENT_INTERVAL_S = 0.02
 _WEIGHT_LOAD_S = 0.1
 _EXTRA_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra"
@@ -35,6 +37,7 @@
     :param orders: received orders to load weights.
     :param dead_servers: servers that close each connection without an answer.
     :param n_connections: connections accepted so far.
+    :param endless: what was sent in responses without end.
     """
 
     seen: list[dict] = field(default_factory=list)
@@ -43,6 +46,7 @@
     orders: list[dict] = field(default_factory=list)
     dead_servers: set[str] = field(default_factory=set)
     n_connections: int = 0
+    endless: EndlessState = field(default_factory=EndlessState)
 
 
 @dataclass
@@ -190,6 +194,10 @@
     elif behaviour == "hang":
         entry["left_early"] = await _wait_for_close(stream)
         raise _ConnectionClosed
+    elif behaviour == "endless":
+        await send_without_end(stream, argument, own_headers, state.endless)
+        entry["left_early"] = True
+        raise _ConnectionClosed
     elif behaviour == "slow":
         await anyio.sleep(float(argument))
         await _send_response(connection, stream, 200, own_headers, body)
