Spread the rows of the store from a few readers of each failure domain

Change: in a failure domain of more than 4 nodes, 2 readers (one for 16 nodes) chosen by rendezvous hashing poll the store; the others poll a reader over the inner protocol (forwarding/relays, forwarding/tablecopies). A reply states the age of the reader's last answer; the follower adds the time since it asked. A follower whose reader refuses, is silent or has old rows reads from the store itself. The limits are shares of configApplyMs. After a failure a feed goes on from its version in place of reading the whole table again.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
@@ -19,10 +19,6 @@
 #: Maximum number of addresses in one directory response.
 MAX_DIRECTORY_ADDRESSES = 64
 
-#: If the configuration is older than this, an API key or path that it doesn't contain
-#: may have been added since, so it isn't rejected as unknown.
-_MAX_CONFIGURATION_AGE_S = 2.5
-
 _RETRY_AFTER_S = 0.4
 
 _STATUS_BY_CODE = {
@@ -295,7 +291,10 @@
     :raises ApricotliftError: ``config_uncertain``.
     """
     age_s = node.routing_state.operator_feed.age_s
-    if node.routing_state.operator_feed.is_failing or age_s > _MAX_CONFIGURATION_AGE_S:
+    if (
+        node.routing_state.operator_feed.is_failing
+        or age_s > node.configuration_age_max_s
+    ):
         message = (
             f"unknown {what}, but the configuration may be out of date: "
             f"it was last confirmed {age_s:.1f} s ago"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -1,8 +1,7 @@
 """Follows a table of the platform's store.
 
 The whole table is read once; after that, long polls return the changes in order. The
-table is read again when a poll fails, or when the store has discarded the history that
-the next poll needs.
+table is read again when the store has discarded the history that the next poll needs.
 """
 
 import random
@@ -34,10 +33,16 @@
 
 @dataclass(frozen=True)
 class RowSet:
-    """Rows and the store's version that they belong to."""
+    """Rows and the store's version that they belong to.
+
+    :param is_full_table: whether these are all rows of the table.
+    :param age_s: time since the store returned them, in seconds.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    is_full_table: bool = False
+    age_s: float = 0.0
 
 
 class RowSource(Protocol):
@@ -56,11 +61,19 @@
         """
 
 
+class RowCopy(Protocol):
+    """Keeps the rows of a table for other nodes."""
+
+    def apply(self, rows: RowSet, is_full_table: bool) -> None:
+        """Apply rows that the store returned."""
+
+
 class Feed:
     """Follows one table and passes its rows on.
 
     :param apply: is called with rows, and whether they are the whole table.
     :param poll_s: time in seconds for which the store holds a poll open.
+    :param copy: is given the same rows as ``apply``, and passes them on to other nodes.
     """
 
     def __init__(
@@ -71,11 +84,14 @@
         metrics: Metrics,
         clock: Callable[[], float] = clocks.monotonic,
         poll_s: float = POLL_S,
+        copy: "RowCopy | None" = None,
     ):
         self.table = table
+        self.copy = copy
         self._poll_s = poll_s
         self.is_loaded = False
         self.version = 0
+        self._must_load = True
         self._source = source
         self._apply = apply
         self._metrics = metrics
@@ -86,7 +102,7 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the store last answered."""
+        """Seconds since the store last answered this node or its reader."""
         return self._clock() - self._confirmed_at
 
     @property
@@ -104,12 +120,14 @@
         pause_s = _RETRY_PAUSE_MIN_S
         while True:
             try:
-                await self._load()
-                pause_s = _RETRY_PAUSE_MIN_S
+                if self._must_load:
+                    await self._load()
                 while True:
                     await self._poll()
+                    pause_s = _RETRY_PAUSE_MIN_S
             except ApricotliftError as error:
                 if error.code is Code.HISTORY_LOST:
+                    self._must_load = True
                     self._metrics.count("feed_history_lost_total", table=self.table)
                     logs.log(logs.INFO, "feed_history_lost", table=self.table)
                     continue
@@ -124,30 +142,37 @@
         """
         rows = await self._source.read_table(self.table)
         if rows.version >= self.version:
-            self._apply(rows, True)
+            self._pass_on(rows, True)
 
     async def _load(self) -> None:
         rows = await self._source.read_table(self.table)
         self._note_success()
         self.version = rows.version
-        self._apply(rows, True)
+        self._pass_on(rows, True)
         self.is_loaded = True
+        self._must_load = False
 
     async def _poll(self) -> None:
         rows = await self._source.wait_for_changes(
             self.table, self.version, self._poll_s
         )
-        self._note_success()
+        self._note_success(rows.age_s)
         self.version = max(self.version, rows.version)
-        if rows.rows:
-            self._apply(rows, False)
+        if rows.rows or rows.is_full_table:
+            self._pass_on(rows, rows.is_full_table)
+
+    def _pass_on(self, rows: RowSet, is_full_table: bool) -> None:
+        self._apply(rows, is_full_table)
+        if self.copy is not None:
+            self.copy.apply(rows, is_full_table)
 
-    def _note_success(self) -> None:
-        self._confirmed_at = self._clock()
+    def _note_success(self, age_s: float = 0.0) -> None:
+        now = self._clock()
+        self._confirmed_at = max(self._confirmed_at, now - age_s)
         if self._failing_since is not None:
-            seconds = round(self._confirmed_at - self._failing_since, 3)
+            seconds = round(now - self._failing_since, 3)
             self._failing_since = None
-            self._recovered_at = self._confirmed_at
+            self._recovered_at = now
             logs.log(logs.INFO, "store_regained", table=self.table, seconds=seconds)
 
     def _note_error(self, error: ApricotliftError) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -28,6 +28,7 @@
     build_http_server,
 )
 from apricotlift.forwarding.refusals import Refusals
+from apricotlift.forwarding.relays import Peers, Relay
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
@@ -49,6 +50,7 @@
     PlacementNote,
     ProgressNote,
     RefusalNote,
+    RowsRequest,
 )
 
 #: A node that shuts down accepts new requests for this long, because clients cache its
@@ -85,7 +87,10 @@
         stack.push_async_callback(store.close)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
-        routing_state = RoutingState(dialect, store, metrics)
+        relay = Relay(store, settings.bounds.configuration_ms / 1000, metrics)
+        routing_state = RoutingState(dialect, relay, metrics)
+        relay.register(routing_state.operator_feed)
+        relay.register(routing_state.servers_feed)
         tasks.start_soon(routing_state.operator_feed.run)
         tasks.start_soon(routing_state.servers_feed.run)
         table = store.open_table("apricotlift")
@@ -100,10 +105,12 @@
             metrics,
             tasks,
             routing_state,
-            store,
+            Suspects(store.open_table("apricotlift-suspects"), relay, metrics),
             peer_network,
             budget,
         )
+        relay.register(node.suspects.feed)
+        _connect_relay(relay, settings.node.name, peer_network)
         stack.push_async_callback(node.handles.close)
         weight_rollout = WeightRollout(
             settings.node.name,
@@ -195,8 +202,16 @@
     return _PeerNetwork(membership, pool, server)
 
 
+def _connect_relay(relay: Relay, own_name: str, peer_network: _PeerNetwork) -> None:
+    view = peer_network.membership.view
+    relay.peers = Peers(
+        own_name, view.get_eligible, view.get_address, peer_network.pool.request
+    )
+    peer_network.server.register(RowsRequest, relay.handle_rows)
+
+
 def _build_runtime(
-    settings, dialect, metrics, tasks, routing_state, store, peer_network, budget
+    settings, dialect, metrics, tasks, routing_state, suspects, peer_network, budget
 ) -> Runtime:
     membership = peer_network.membership
 
@@ -244,7 +259,7 @@
         routing_state,
         handles,
         RetryBudgets(bounds.retry_share, bounds.n_retries, count_nodes),
-        Suspects(store.open_table("apricotlift-suspects"), store, metrics),
+        suspects,
         cache_index,
         membership,
         engine_loads,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -21,6 +21,12 @@
 #: named, because they are ordered to load them first.
 N_NEXT_TO_RELOAD = 2
 
+#: If the configuration is older than a share of the time limit for applying one, an API
+#: key or path that it doesn't contain may have been added since. A poll of the store
+#: takes up to the minimum.
+_CONFIGURATION_AGE_SHARE = 0.75
+_CONFIGURATION_AGE_MIN_S = 2.5
+
 
 @dataclass
 class Runtime:
@@ -62,6 +68,12 @@
         """Time limit for using a weight version after it was named, in seconds."""
         return self.settings.bounds.weights_ms / 1000
 
+    @property
+    def configuration_age_max_s(self) -> float:
+        """Age of the configuration up to which what it lacks counts as unknown."""
+        limit_s = self.settings.bounds.configuration_ms / 1000
+        return max(_CONFIGURATION_AGE_MIN_S, _CONFIGURATION_AGE_SHARE * limit_s)
+
     @property
     def is_ready(self) -> bool:
         """Whether clients should send requests to this node."""
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/relays.feature
@@ -0,0 +1,74 @@
+Feature: Rows of the store, spread from a few readers to the other nodes
+
+  Scenario: Only the readers of a failure domain poll the store
+    # Guards against a number of calls to the store that grows with the fleet.
+    Given 10 nodes of one failure domain that follow a table
+    Then 2 nodes poll the store
+    When a row is written
+    Then all nodes have the row
+    And 2 nodes poll the store
+
+  Scenario: All nodes of a small failure domain poll the store
+    # Guards against a delay by readers where they save hardly any calls.
+    Given 4 nodes of one failure domain that follow a table
+    Then 4 nodes poll the store
+
+  Scenario Outline: A change reaches all nodes although the readers fail
+    # Guards against followers that are out of date for as long as a reader is dead,
+    # frozen, or cut off from the store.
+    Given 10 nodes of one failure domain that follow a table
+    When the readers <failure>
+    And a row is written
+    Then all nodes but the readers have the row
+
+    Examples:
+      | failure                      |
+      | don't answer                 |
+      | refuse to answer             |
+      | get no answer from the store |
+      | are refused by the store     |
+
+  Scenario: Nodes that the store refuses stay current
+    # Guards against nodes that go out of date although others can reach the store.
+    Given 10 nodes of one failure domain that follow a table
+    When the followers are refused by the store
+    And a row is written
+    Then all nodes have the row
+
+  Scenario: An outage of the store is noticed by all nodes
+    # Guards against followers that take rows for current which no node could confirm.
+    Given 10 nodes of one failure domain that follow a table
+    When all nodes are refused by the store
+    Then all nodes report that the store fails
+    When all nodes are served by the store
+    And a row is written
+    Then all nodes have the row
+    And no node reports that the store fails
+
+  Scenario: Rows are not passed on twice
+    # Guards against two nodes that take each other for readers and confirm to each other
+    # rows that neither has read from the store.
+    Given 10 nodes of one failure domain that follow a table
+    When a follower is asked for rows
+    Then it refuses with table_unavailable
+
+  Scenario: A node that lacks old changes is given the whole table
+    # Guards against a deleted row that is used for ever by a node that missed the
+    # deletion.
+    Given a copy of a table that was read at version 10 with the rows "a, b"
+    When the row "a" is deleted at version 12 and "c" is written at version 13
+    Then a node at version 11 is given "a deleted, c" as changes
+    And a node at version 12 is given "c" as changes
+    And a node at version 9 is given "b, c" as the whole table
+
+  Scenario: A table that is read again after a gap in its history
+    # Guards against followers of a reader that never hear of a deletion in the gap.
+    Given a copy of a table that was read at version 10 with the rows "a, b"
+    When the whole table is read at version 20 with the rows "b"
+    Then a node at version 10 is given "a deleted" as changes
+
+  Scenario: An understated age is impossible
+    # Guards against rows that count as current because their reply waited in a buffer.
+    Given 10 nodes of one failure domain that follow a table
+    When the replies of the readers wait 30 seconds in a buffer
+    Then the followers don't use them
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
@@ -0,0 +1,339 @@
+"""Steps for relays: nodes of one failure domain, their store and their messages."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+from apricotlift.core import clocks
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.feeds import Feed, RowSet, StoredRow
+from apricotlift.forwarding.relays import Peers, Relay
+from apricotlift.forwarding.tablecopies import TableCopy
+from apricotlift.wire.messages import RowsRequest
+from behave import given, then, when
+
+TIMEOUT_S = 20.0
+APPLY_LIMIT_S = 1.0
+TABLE = "operator"
+FAILURES = {
+    "don't answer": ("reader", "silent"),
+    "refuse to answer": ("reader", "refuse"),
+    "get no answer from the store": ("store", "silent"),
+    "are refused by the store": ("store", "refuse"),
+}
+
+
+def build_error(code):
+    return ApricotliftError(code, "simulated")
+
+
+@dataclass
+class Store:
+    """A table with a version, whose faults differ by node."""
+
+    version: int = 1
+    rows: dict[str, StoredRow] = field(default_factory=dict)
+    faults: dict[str, str] = field(default_factory=dict)
+    polling: set[str] = field(default_factory=set)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def write(self, key):
+        self.version += 1
+        self.rows[key] = StoredRow(key, b"value", self.version)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def check(self, node):
+        if self.faults.get(node) == "silent":
+            await anyio.sleep(0.5)
+        if self.faults.get(node):
+            raise build_error(Code.TABLE_UNAVAILABLE)
+
+    async def wait(self, node, after, wait_s):
+        await self.check(node)
+        self.polling.add(node)
+        changes = tuple(row for row in self.rows.values() if row.version > after)
+        if not changes:
+            with anyio.move_on_after(wait_s):
+                await self.changed.wait()
+            await self.check(node)
+        changes = tuple(row for row in self.rows.values() if row.version > after)
+        return RowSet(changes, self.version)
+
+
+@dataclass
+class NodeStore:
+    """The store as one node reaches it."""
+
+    store: Store
+    name: str
+
+    async def read_table(self, table):
+        await self.store.check(self.name)
+        return RowSet(tuple(self.store.rows.values()), self.store.version)
+
+    async def wait_for_changes(self, table, after, wait_s):
+        return await self.store.wait(self.name, after, wait_s)
+
+
+@dataclass
+class World:
+    """The nodes of one failure domain."""
+
+    store: Store = field(default_factory=Store)
+    relays: dict[str, Relay] = field(default_factory=dict)
+    feeds: dict[str, Feed] = field(default_factory=dict)
+    faults: dict[str, str] = field(default_factory=dict)
+    delay_s: float = 0.0
+    delayed_s: float = 0.0
+
+    def add_node(self, name):
+        relay = Relay(NodeStore(self.store, name), APPLY_LIMIT_S, Metrics())
+        feed = Feed(relay, TABLE, lambda rows, is_full: None, Metrics())
+        relay.register(feed)
+        self.relays[name] = relay
+        self.feeds[name] = feed
+
+    def connect(self):
+        domains = dict.fromkeys(self.relays, "z1")
+        for name, relay in self.relays.items():
+            relay.peers = Peers(name, lambda: domains, lambda name: name, self.request)
+
+    async def request(self, address, message, timeout_s):
+        if self.faults.get(address) == "silent":
+            await anyio.sleep(timeout_s)
+            raise build_error(Code.PEER_UNREACHABLE)
+        if self.faults.get(address) == "refuse":
+            raise build_error(Code.PEER_UNREACHABLE)
+        reply = await self.relays[address].handle_rows(message, None)
+        self.delayed_s += self.delay_s
+        return reply
+
+    def list_followers(self):
+        return [name for name, relay in self.relays.items() if relay.list_readers()]
+
+    def list_readers(self):
+        return [name for name in self.relays if name not in self.list_followers()]
+
+    def has_row(self, name, key):
+        copy = self.relays[name]._copies[TABLE]
+        return any(row.key == key for row in copy.collect(-1).rows)
+
+
+def run_nodes(context, check):
+    """Run the nodes from their start, repeat the steps so far, and run a check."""
+
+    async def main():
+        world = World()
+        for number in range(context.n_nodes):
+            world.add_node(f"n{number}")
+        async with run_feeds(world):
+            await settle(world)
+            with anyio.fail_after(TIMEOUT_S):
+                for action in context.actions:
+                    await action(world)
+                await check(world)
+
+    anyio.run(main)
+
+
+@asynccontextmanager
+async def run_feeds(world):
+    async with anyio.create_task_group() as tasks:
+        for feed in world.feeds.values():
+            tasks.start_soon(feed.run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def settle(world):
+    """Wait until each node reads as it will in steady state."""
+    await wait_until(lambda: all(feed.is_loaded for feed in world.feeds.values()))
+    world.connect()
+    followers = world.list_followers()
+    await wait_until(
+        lambda: all(world.relays[name]._tables[TABLE].is_relayed for name in followers)
+    )
+
+
+async def wait_until(condition):
+    with anyio.fail_after(TIMEOUT_S):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+@given("{n:d} nodes of one failure domain that follow a table")
+def step_nodes(context, n):
+    context.n_nodes = n
+    context.actions = []
+
+
+@when("the readers {failure}")
+def step_readers_fail(context, failure):
+    place, fault = FAILURES[failure]
+
+    async def fail(world):
+        faults = world.faults if place == "reader" else world.store.faults
+        faults.update(dict.fromkeys(world.list_readers(), fault))
+
+    context.actions.append(fail)
+
+
+@when("the followers are refused by the store")
+def step_followers_refused(context):
+    async def refuse(world):
+        world.store.faults = dict.fromkeys(world.list_followers(), "refuse")
+
+    context.actions.append(refuse)
+
+
+@when("all nodes are refused by the store")
+def step_all_refused(context):
+    async def refuse(world):
+        world.store.faults = dict.fromkeys(world.relays, "refuse")
+
+    context.actions.append(refuse)
+
+
+@when("all nodes are served by the store")
+def step_all_served(context):
+    async def serve(world):
+        world.store.faults = {}
+
+    context.actions.append(serve)
+
+
+@when("a row is written")
+def step_write(context):
+    async def write(world):
+        world.store.write("new")
+
+    context.actions.append(write)
+
+
+@then("all nodes have the row")
+def step_all_have_row(context):
+    async def check(world):
+        await wait_until(
+            lambda: all(world.has_row(name, "new") for name in world.feeds)
+        )
+
+    context.actions.append(check)
+    run_nodes(context, pass_check)
+
+
+@then("all nodes but the readers have the row")
+def step_followers_have_row(context):
+    async def check(world):
+        names = world.list_followers()
+        assert len(names) == context.n_nodes - 2, names
+        await wait_until(lambda: all(world.has_row(name, "new") for name in names))
+
+    run_nodes(context, check)
+
+
+async def pass_check(world):
+    """Check nothing besides the steps."""
+
+
+@then("{n:d} nodes poll the store")
+def step_n_poll(context, n):
+    async def check(world):
+        # Polls that began before the nodes knew each other end within the limit.
+        await anyio.sleep(3 * APPLY_LIMIT_S)
+        world.store.polling.clear()
+        await anyio.sleep(2 * APPLY_LIMIT_S)
+        assert len(world.store.polling) == n, world.store.polling
+
+    run_nodes(context, check)
+
+
+@then("all nodes report that the store fails")
+def step_all_failing(context):
+    async def check(world):
+        await wait_until(lambda: all(feed.is_failing for feed in world.feeds.values()))
+
+    context.actions.append(check)
+
+
+@then("no node reports that the store fails")
+def step_none_failing(context):
+    async def check(world):
+        await wait_until(
+            lambda: not any(feed.is_failing for feed in world.feeds.values())
+        )
+
+    run_nodes(context, check)
+
+
+@when("a follower is asked for rows")
+def step_ask_follower(context):
+    async def ask(world):
+        relay = world.relays[world.list_followers()[0]]
+        try:
+            await relay.handle_rows(RowsRequest(TABLE, -1, 0), None)
+        except ApricotliftError as error:
+            context.error = error
+
+    context.error = None
+    run_nodes(context, ask)
+
+
+@then("it refuses with {code}")
+def step_refused(context, code):
+    assert context.error is not None and context.error.code == code, context.error
+
+
+@when("the replies of the readers wait {seconds:d} seconds in a buffer")
+def step_replies_wait(context, seconds):
+    async def receive_late(world):
+        name = world.list_followers()[0]
+        relay = world.relays[name]
+        world.delay_s = seconds
+        relay.clock = lambda: clocks.monotonic() + world.delayed_s
+        reader = relay.list_readers()[0]
+        try:
+            await relay._ask_reader(reader, TABLE, 10_000, 2.2)
+        except ApricotliftError as error:
+            context.error = error
+
+    context.error = None
+    run_nodes(context, receive_late)
+
+
+@then("the followers don't use them")
+def step_not_used(context):
+    assert context.error is not None and "s old" in context.error.message
+
+
+def build_rows(text, version):
+    return tuple(StoredRow(key, b"value", version) for key in text.split(", "))
+
+
+@given('a copy of a table that was read at version {version:d} with the rows "{rows}"')
+def step_copy(context, version, rows):
+    context.copy = TableCopy()
+    context.copy.apply(RowSet(build_rows(rows, 5), version), True)
+
+
+@when(
+    'the row "{gone}" is deleted at version {first:d} and "{new}" is written at version '
+    "{second:d}"
+)
+def step_change(context, gone, first, new, second):
+    context.copy.apply(RowSet((StoredRow(gone, None, first),), first), False)
+    context.copy.apply(RowSet(build_rows(new, second), second), False)
+
+
+@when('the whole table is read at version {version:d} with the rows "{rows}"')
+def step_read_again(context, version, rows):
+    context.copy.apply(RowSet(build_rows(rows, 5), version), True)
+
+
+@then('a node at version {version:d} is given "{wanted}" as {kind}')
+def step_given(context, version, wanted, kind):
+    rows = context.copy.collect(version)
+    found = {row.key + (" deleted" if row.value is None else "") for row in rows.rows}
+    assert found == set(wanted.split(", ")), rows
+    assert rows.is_full_table == (kind == "the whole table"), rows
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -404,6 +404,47 @@
     replaces: str
 
 
+@dataclass(frozen=True)
+class RowsRequest(Message):
+    """Asks a node that reads a table from the platform's store for its changes.
+
+    :param after: version up to which the sender has the table; negative for none of it.
+    :param wait_ms: how long the receiver waits for a change before it replies.
+    """
+
+    kind: ClassVar[str] = "rows_request"
+    table: str
+    after: int
+    wait_ms: int
+
+
+@dataclass(frozen=True)
+class RowRecord(Record):
+    """A row of a table; the value of a deleted row is empty."""
+
+    key: str
+    value: bytes
+    version: int
+    is_deleted: bool
+
+
+@dataclass(frozen=True)
+class RowsReply(Message):
+    """The rows that changed after a version, or all rows of the table.
+
+    :param version: version up to which the rows are complete.
+    :param age_ms: time since the store last answered the sender, rounded up.
+    :param held_ms: time for which the sender held the request, rounded down.
+    """
+
+    kind: ClassVar[str] = "rows_reply"
+    version: int
+    is_full_table: bool
+    age_ms: int
+    held_ms: int
+    rows: list[RowRecord]
+
+
 MESSAGES: dict[str, type[Message]] = {
     message.kind: message
     for message in (
@@ -434,6 +475,8 @@
         WriteClaims,
         WriteClaimsReply,
         RenewLease,
+        RowsRequest,
+        RowsReply,
     )
 }
 
