Choose readers over the whole fleet, and pace lease rows by its size

A node also renewed its lease row each 5 s and read all rows each 15 s, 0.3 calls a second, whatever the fleet's size.

Change: one reader for 16 nodes, three at least, spread over the failure domains, from 13 nodes on; followers ask readers of their own domain first. Members renew and read their rows at a pace that grows with their number where no decision rests on the lease; gossip says who is alive.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -197,7 +197,7 @@
     )
     pool = PeerPool(get_identity, secret, metrics)
     server = PeerServer(sockets["peers"], get_identity, secret, metrics)
-    membership = Membership(own_summary, table, pool, metrics)
+    membership = Membership(own_summary, table, pool, metrics, is_lease_needed=False)
     memberships.append(membership)
     membership.register(server)
     await stack.enter_async_context(pool)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -1,8 +1,9 @@
 """Spreads the rows of the platform's store from a few reader nodes to the others.
 
 If each node of a large fleet polled the store, every change would cost one call a node.
-So in each failure domain only a few nodes, chosen by rendezvous hashing over the live
-members, poll the store. The others poll one of these readers over the inner protocol.
+So only a few nodes, chosen by rendezvous hashing over the live members and spread over
+the failure domains, poll the store. The others poll one of these readers over the inner
+protocol, if possible one of their own failure domain.
 
 A reader states the age of its last answer from the store, and a follower counts the
 time since it sent its own request as well, so that an age is never understated. A
@@ -19,17 +20,18 @@
 import anyio
 from apricotlift.core import clocks, logs
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
-from apricotlift.core.hashing import rank_nodes
+from apricotlift.core.hashing import choose_owners, rank_nodes
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.feeds import POLL_S, Feed, RowSet, RowSource, StoredRow
 from apricotlift.forwarding.tablecopies import TableCopy
 from apricotlift.wire.handshake import Identity
 from apricotlift.wire.messages import Message, RowRecord, RowsReply, RowsRequest
 
-#: Up to this number of nodes in a failure domain, all of them read from the store.
-MAX_DIRECT_NODES = 4
-#: Readers in a larger failure domain: a fixed number, and one for so many nodes.
-N_READERS_MIN = 2
+#: Up to this number of nodes, all of them read from the store: readers poll more often
+#: than other nodes, so that fewer followers would save no calls.
+MAX_DIRECT_NODES = 12
+#: Readers of a larger fleet: a least number, and one for so many nodes.
+N_READERS_MIN = 3
 N_NODES_PER_READER = 16
 
 #: Shares of the time limit for applying a configuration. Together with the margin of a
@@ -161,17 +163,18 @@
         """Return the readers that this node may ask; none if it reads by itself."""
         if self.peers is None:
             return []
+        own_name = self.peers.own_name
         domains = self.peers.list_domains()
-        own_domain = domains.get(self.peers.own_name)
-        nodes = [name for name, domain in domains.items() if domain == own_domain]
-        if len(nodes) <= MAX_DIRECT_NODES:
+        if len(domains) <= MAX_DIRECT_NODES:
             return []
-        n_readers = max(N_READERS_MIN, math.ceil(len(nodes) / N_NODES_PER_READER))
-        readers = rank_nodes("readers", nodes)[:n_readers]
-        if self.peers.own_name in readers:
+        n_readers = max(N_READERS_MIN, math.ceil(len(domains) / N_NODES_PER_READER))
+        readers = choose_owners("readers", domains, n_readers)
+        if own_name in readers:
             return []
         # Each follower has an order of its own, which spreads them over the readers.
-        return rank_nodes(self.peers.own_name, readers)
+        ranked = rank_nodes(own_name, readers)
+        own_domain = domains.get(own_name)
+        return sorted(ranked, key=lambda name: domains[name] != own_domain)
 
     async def _wait_at_readers(
         self, table: str, after: int, wait_s: float
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
@@ -38,6 +38,8 @@
 #: A failed request costs the client about this much time.
 _FAILURE_COST_S = 1.0
 _CROSS_DOMAIN_COST_S = 0.003
+#: A new connection takes a round trip, and work of the server.
+_NEW_CONNECTION_COST_S = 0.01
 
 
 @dataclass
@@ -84,6 +86,8 @@
         cost_s += self.get_failure_share(now) * _FAILURE_COST_S
         if self.server.failure_domain != own_domain:
             cost_s += _CROSS_DOMAIN_COST_S
+        if not self.connections.has_idle:
+            cost_s += _NEW_CONNECTION_COST_S
         return cost_s
 
 
--- a/packages/apricotlift-state/src/apricotlift/state/membership.py
+++ b/packages/apricotlift-state/src/apricotlift/state/membership.py
@@ -34,6 +34,14 @@
 
 QUERY_INTERVAL_S = 15.0
 
+#: In large fleets each node writes and reads the lease rows less often, in proportion
+#: to the number of members. Who is alive is known from gossip; the rows are needed by
+#: nodes that start, and by those that gossip can't reach.
+RENEWAL_PACE_S_PER_MEMBER = 0.5
+QUERY_PACE_S_PER_MEMBER = 1.0
+#: Shorter than the time for which members that left are remembered.
+MAX_QUERY_INTERVAL_S = 45.0
+
 #: Interval after the first query; it doubles up to the regular one. Nodes that start
 #: at the same time find no rows at first, and must find each other within seconds.
 FIRST_QUERY_INTERVAL_S = 1.0
@@ -43,8 +51,8 @@
 #: deleted can't be serving.
 MAX_UNRENEWED_ROW_AGE_S = 4 * 3600.0
 
-#: After a longer gap between queries, the observed ages of rows are discarded.
-_MAX_QUERY_GAP_S = 4 * QUERY_INTERVAL_S
+#: After so many missed queries, the observed ages of rows are discarded.
+_MAX_MISSED_QUERIES = 4
 
 #: A failed lease write is retried after this delay instead of the renewal interval, so
 #: that two attempts fit into the duration of a lease.
@@ -73,6 +81,8 @@
     :param pool: the peer pool; build it with ``get_identity`` of this object.
     :param clock: returns seconds of a monotonic clock that counts suspended time.
     :param wall_ms: returns the wall-clock time in milliseconds.
+    :param is_lease_needed: whether decisions rest on leases that have not expired; if
+        not, large fleets renew them less often than they expire.
     """
 
     def __init__(
@@ -84,8 +94,10 @@
         random: Random | None = None,
         clock: Callable[[], float] = clocks.monotonic,
         wall_ms: Callable[[], int] = clocks.wall_ms,
+        is_lease_needed: bool = True,
     ):
         random = random or Random()
+        self._is_lease_needed = is_lease_needed
         self._table = table
         self._pool = pool
         self._metrics = metrics
@@ -126,6 +138,20 @@
         server.register(Heartbeat, self.handle_heartbeat)
         server.register(RenewLease, self.handle_renewal)
 
+    def get_renewal_interval_s(self) -> float:
+        """Return the time between two renewals of the lease row."""
+        if self._is_lease_needed:
+            return RENEWAL_INTERVAL_S
+        pace_s = RENEWAL_PACE_S_PER_MEMBER * len(self.view.members)
+        return max(RENEWAL_INTERVAL_S, pace_s)
+
+    def get_query_interval_s(self) -> float:
+        """Return the time between two queries of the lease rows."""
+        if self._is_lease_needed:
+            return QUERY_INTERVAL_S
+        pace_s = QUERY_PACE_S_PER_MEMBER * len(self.view.members)
+        return max(QUERY_INTERVAL_S, min(MAX_QUERY_INTERVAL_S, pace_s))
+
     def check_admission(self) -> AdmissionBasis:
         """Return the basis on which new work may be admitted now.
 
@@ -215,7 +241,7 @@
             # The first write may have changed the incarnation.
             self._update_own_summary()
             await anyio.sleep(
-                RENEWAL_INTERVAL_S if is_renewed else _LEASE_RETRY_DELAY_S
+                self.get_renewal_interval_s() if is_renewed else _LEASE_RETRY_DELAY_S
             )
 
     async def _run_member_queries(self) -> None:
@@ -227,7 +253,7 @@
                 self._metrics.count("member_query_failures_total", code=error.code)
             # Jitter keeps the nodes from reading the table at the same time.
             await anyio.sleep(interval_s * self._random.uniform(0.8, 1.2))
-            interval_s = min(2 * interval_s, QUERY_INTERVAL_S)
+            interval_s = min(2 * interval_s, self.get_query_interval_s())
 
     async def _run_gossip(self) -> None:
         while True:
@@ -268,7 +294,8 @@
         now = self._clock()
         # Nodes that can't reach the table can't renew their rows either. After a table
         # outage the full time is counted again.
-        if now - self._last_query_at > _MAX_QUERY_GAP_S:
+        max_gap_s = _MAX_MISSED_QUERIES * self.get_query_interval_s()
+        if now - self._last_query_at > max_gap_s:
             self._observed_rows.clear()
         self._last_query_at = now
         watched = {}
--- a/packages/apricotlift-state/src/apricotlift/state/tests/membership.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/membership.feature
@@ -57,3 +57,16 @@
     And a membership row of node-z without an incarnation
     When the membership node queries once
     Then the membership view holds node-x and node-y
+
+  Scenario Outline: Rows are renewed and read less often in a large fleet
+    Guards against calls to the table that grow with the square of the fleet's size, and
+    against leases that expire where decisions rest on them.
+    Given a membership node among <n> members, whose leases are <use>
+    Then it renews its row every <renewal> s and queries the rows every <query> s
+
+    Examples:
+      | n   | use        | renewal | query |
+      | 8   | not needed | 5       | 15    |
+      | 22  | not needed | 11      | 22    |
+      | 200 | not needed | 100     | 45    |
+      | 200 | needed     | 5       | 15    |
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
@@ -252,3 +252,27 @@
 @then("the membership view holds node-x and node-y")
 def check_view(context):
     assert sorted(context.node.view.members) == ["node-a", "node-x", "node-y"]
+
+
+@given("a membership node among {n:d} members, whose leases are {use}")
+def prepare_fleet(context, n, use):
+    pool = PeerPool(lambda: None, SECRET, Metrics())
+    context.node = Membership(
+        build_summary("node-0"),
+        FakeTable(),
+        pool,
+        Metrics(),
+        Random(4),
+        is_lease_needed=use == "needed",
+    )
+    for number in range(1, n):
+        context.node.view.apply_summary(build_summary(f"node-{number}"))
+    assert len(context.node.view.members) == n
+
+
+@then(
+    "it renews its row every {renewal_s:g} s and queries the rows every {query_s:g} s"
+)
+def check_intervals(context, renewal_s, query_s):
+    assert context.node.get_renewal_interval_s() == renewal_s
+    assert context.node.get_query_interval_s() == query_s
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
@@ -125,6 +125,11 @@
     n_open: int = 0
     _idle: list[_PooledConnection] = field(default_factory=list)
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a request can probably be sent without opening a connection."""
+        return any(_is_fresh(pooled) for pooled in self._idle)
+
     @asynccontextmanager
     async def open_response(
         self, call: HttpCall, connect_timeout_s: float
@@ -287,8 +292,12 @@
     return DEFAULT_IDLE_S
 
 
+def _is_fresh(pooled: _PooledConnection) -> bool:
+    return clocks.monotonic() - pooled.idle_since <= pooled.idle_limit_s
+
+
 def _is_usable(pooled: _PooledConnection) -> bool:
-    if clocks.monotonic() - pooled.idle_since > pooled.idle_limit_s:
+    if not _is_fresh(pooled):
         return False
     return pooled.connection.is_idle() and not pooled.connection.has_expired()
 
