--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/__init__.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Clients of model engines, plain services and KV stores."""
 
+from apricotlift.upstreams import asynclibraries  # noqa: F401
 from apricotlift.upstreams.engine import EngineClient, GenerateCall, TextChunk
 from apricotlift.upstreams.engineorders import EngineOrder, send_order
 from apricotlift.upstreams.kvevents import KvBatch, KvEvent, follow_events
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/boundedstreams.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/boundedstreams.py
@@ -7,15 +7,10 @@
 """
 
 import ssl
-import sys
 from collections.abc import Iterable
 from typing import Any
 
-# httpcore imports trio where it is installed, which takes a tenth of a second. Nothing
-# here runs on trio.
-sys.modules.setdefault("trio", None)
-
-import httpcore  # noqa: E402
+import httpcore
 
 #: Largest size of a response's status line and headers, interim responses included.
 MAX_HEAD_BYTES = 65_536
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
@@ -5,9 +5,7 @@
 the request may have run: it certainly did not if no connection could be opened.
 """
 
-import importlib.util
 import ssl
-import sys
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -22,12 +20,6 @@
 from apricotlift.upstreams.boundedstreams import BoundedBackend
 from apricotlift.upstreams.readbudget import ReadBudget
 
-# httpcore tries to import sniffio several times per request. If sniffio isn't
-# installed, each attempt searches all of sys.path; a None entry in sys.modules makes it
-# fail at once.
-if importlib.util.find_spec("sniffio") is None:
-    sys.modules["sniffio"] = None
-
 MAX_CONNECTIONS = 1000
 MAX_IDLE_CONNECTIONS = 8
 KEEPALIVE_S = 15.0
