--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -106,6 +106,8 @@
     _copies: dict[str, TableCopy] = field(default_factory=dict)
     _tables: dict[str, _TableState] = field(default_factory=dict)
     _avoided_until: dict[str, float] = field(default_factory=dict)
+    _ranked_domains: Mapping[str, str] | None = None
+    _readers: list[str] = field(default_factory=list)
 
     def register(self, feed: Feed) -> None:
         """Offer the rows of a feed to other nodes."""
@@ -163,8 +165,15 @@
         """Return the readers that this node may ask; none if it reads by itself."""
         if self.peers is None:
             return []
-        own_name = self.peers.own_name
         domains = self.peers.list_domains()
+        # The view returns the same mapping until a member changes.
+        if domains is not self._ranked_domains:
+            self._ranked_domains = domains
+            self._readers = self._choose_readers(domains)
+        return self._readers
+
+    def _choose_readers(self, domains: Mapping[str, str]) -> list[str]:
+        own_name = self.peers.own_name
         if len(domains) <= MAX_DIRECT_NODES:
             return []
         n_readers = max(N_READERS_MIN, math.ceil(len(domains) / N_NODES_PER_READER))
