Send very many notes as several messages

A bundle of notes above the size of a frame (256 KiB) raised an error in the task that sends notes, which would have ended the node. Found by reading the code; the scenario with 251 notes fails without the split.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -84,7 +84,7 @@
         metrics: Metrics,
         clock: Callable[[], float] = clocks.monotonic,
         poll_s: float = POLL_S,
-        copy: "RowCopy | None" = None,
+        copy: RowCopy | None = None,
     ):
         self.table = table
         self.copy = copy
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/peernotes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/peernotes.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 
 import anyio
+from apricotlift.core import logs
+from apricotlift.core.errors import ApricotliftError
 from apricotlift.state.view import MembershipView
 from apricotlift.wire.connections import PeerPool
 from apricotlift.wire.messages import (
@@ -26,6 +28,8 @@
 _MESSAGES_PER_PROCESSOR_S = 100.0
 #: Notes wait no longer than this, since most prompts are read within a second.
 _MAX_INTERVAL_S = 1.0
+#: More notes than this are sent as several messages, to stay below the frame size.
+MAX_NOTES_PER_MESSAGE = 100
 
 Note = PlacementNote | ProgressNote | RefusalNote | OrderNote
 
@@ -72,7 +76,17 @@
         addresses = [
             member.peer_address for member in members if member.node_id != own_id
         ]
-        self.peers.send_to_all(addresses, _build_message(notes))
+        for start in range(0, len(notes), MAX_NOTES_PER_MESSAGE):
+            message = _build_message(notes[start : start + MAX_NOTES_PER_MESSAGE])
+            try:
+                self.peers.send_to_all(addresses, message)
+            except ApricotliftError as error:
+                logs.log(
+                    logs.WARNING,
+                    "notes_dropped",
+                    code=error.code,
+                    reason=error.message,
+                )
 
 
 def _build_message(notes: list[Note]) -> Notes:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -192,7 +192,7 @@
 
         :returns: the rows, or ``None`` and why this node has to ask the store.
         """
-        reason = "reader"
+        reason = "reads_itself"
         for name in self.list_readers():
             if self._avoided_until.get(name, 0.0) > self.clock():
                 reason = "readers_avoided"
@@ -278,7 +278,7 @@
         if self._get_state(table).is_relayed:
             raise _build_error(f"table {table!r} is not read from the store here")
         if feed.is_failing:
-            raise _build_error(f"the store did not answer {feed.age_s:.1f} s ago")
+            raise _build_error(f"the store has not answered for {feed.age_s:.1f} s")
         return feed
 
     def _note_source(self, table: str, is_relayed: bool, reason: str) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/peernotes.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/peernotes.feature
@@ -7,6 +7,13 @@
     When this node adds 60 notes within an interval
     Then each peer gets 2 messages with 60 notes in all
 
+  # Guards against a node that ends because its notes exceed the size of a frame.
+  Scenario: Very many notes are sent as several messages
+    Given a cluster of 2 nodes with 1 processor each
+    When this node adds 251 notes within an interval
+    Then each peer gets 4 messages with 251 notes in all
+    And no message has more than 100 notes
+
   # Guards against nodes that place prompts on outdated loads although messages are few.
   Scenario: A note after a quiet time is sent at once
     Given a cluster of 8 nodes with 1 processor each
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/peernotes_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/peernotes_steps.py
@@ -57,6 +57,12 @@
         assert sum(len(message.progress) for message in messages) == n_notes
 
 
+@then("no message has more than {n:d} notes")
+def step_message_size(context, n):
+    for messages in context.sent.values():
+        assert all(len(message.progress) <= n for message in messages), messages
+
+
 @then("notes are sent every {seconds:g} seconds")
 def step_interval(context, seconds):
     assert abs(context.notes.get_interval_s() - seconds) < 1e-9
