Pause after a change before the next poll, not before the change is applied

Cause, found by reading the code: a follower, and a reader with followers, slept 0.2 s between receiving changed rows and applying them, so changes came 0.2 s late at each of the two, and the age of the rows left the pause out. With a limit of 3 s the longest delay would have been 3.2 s. The scenario fails on the code before (pauses [0.2] before the rows are returned) and passes now.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -41,8 +41,8 @@
 _WAIT_SHARE = 0.22
 _REPLY_MARGIN_S = 0.3
 
-#: Pause after rows have changed, so that changes in quick succession are passed on
-#: together.
+#: Pause between a change and the next poll, so that changes in quick succession are
+#: passed on together.
 _CHANGE_PAUSE_S = 0.2
 
 #: Time for which a reader that didn't answer is not asked again.
@@ -81,11 +81,13 @@
     :param is_relayed: whether the rows come from a reader.
     :param asked_at: when another node last asked for rows.
     :param direct_failed_at: when the store last failed to answer.
+    :param paused_until: time of the next poll after a change.
     """
 
     is_relayed: bool = False
     asked_at: float = -math.inf
     direct_failed_at: float = -math.inf
+    paused_until: float = -math.inf
 
 
 @dataclass
@@ -95,6 +97,7 @@
     :param store: the client of the store.
     :param apply_limit_s: time within which a configuration has to be in force.
     :param peers: the other nodes; ``None`` until this node has joined them.
+    :param sleep: waits for a number of seconds.
     """
 
     store: RowSource
@@ -102,6 +105,7 @@
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     peers: Peers | None = None
+    sleep: Callable[[float], Awaitable[None]] = anyio.sleep
     _feeds: dict[str, Feed] = field(default_factory=dict)
     _copies: dict[str, TableCopy] = field(default_factory=dict)
     _tables: dict[str, _TableState] = field(default_factory=dict)
@@ -128,12 +132,15 @@
 
         :raises ApricotliftError: ``history_lost`` or ``table_unavailable``.
         """
+        state = self._get_state(table)
+        if self.clock() < state.paused_until:
+            await self.sleep(state.paused_until - self.clock())
         rows, reason = await self._wait_at_readers(table, after, wait_s)
         if rows is None:
             rows = await self._wait_at_store(table, after, wait_s)
         self._note_source(table, reason == "", reason)
         if rows.rows and (reason == "" or self._has_followers(table)):
-            await anyio.sleep(_CHANGE_PAUSE_S)
+            state.paused_until = self.clock() + _CHANGE_PAUSE_S
         return rows
 
     async def handle_rows(self, message: RowsRequest, peer: Identity) -> RowsReply:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/relays.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/relays.feature
@@ -73,6 +73,13 @@
     When the whole table is read at version 20 with the rows "b"
     Then a node at version 10 is given "a deleted" as changes
 
+  Scenario: The pause after a change comes before the next poll
+    # Guards against changes that are applied late, and against an age that leaves out
+    # the pause.
+    Given 20 nodes that follow a table
+    When a follower polls for a row that was written, and polls again
+    Then it paused before the second poll only
+
   Scenario: An understated age is impossible
     # Guards against rows that count as current because their reply waited in a buffer.
     Given 20 nodes that follow a table
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
@@ -311,6 +311,35 @@
     assert context.error is not None and context.error.code == code, context.error
 
 
+@when("a follower polls for a row that was written, and polls again")
+def step_poll_twice(context):
+    async def poll(world):
+        pauses = []
+
+        async def record_pause(seconds):
+            pauses.append(seconds)
+
+        version = world.store.version
+        world.store.write("new")
+        name = world.list_followers()[0]
+        store = NodeStore(world.store, name)
+        relay = Relay(store, APPLY_LIMIT_S, Metrics(), sleep=record_pause)
+        relay.peers = world.relays[name].peers
+        rows = await relay.wait_for_changes(TABLE, version, POLL_S)
+        assert [row.key for row in rows.rows] == ["new"], rows
+        context.first_pauses = list(pauses)
+        await relay.wait_for_changes(TABLE, rows.version, POLL_S)
+        context.pauses = pauses
+
+    run_nodes(context, poll)
+
+
+@then("it paused before the second poll only")
+def step_paused_once(context):
+    assert context.first_pauses == [], context.first_pauses
+    assert len(context.pauses) == 1 and context.pauses[0] > 0, context.pauses
+
+
 @when("the replies of the readers wait {seconds:d} seconds in a buffer")
 def step_replies_wait(context, seconds):
     async def receive_late(world):
