--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -175,10 +175,14 @@
                 self.apply_configuration(instruction.configuration)
             if instruction.weights is not None:
                 self._apply_weights(
-                    instruction.weights.model, instruction.weights.version
+                    instruction.weights.model,
+                    instruction.weights.version,
+                    is_full_table,
                 )
 
-    def _apply_weights(self, model: str, version: int) -> None:
+    def _apply_weights(
+        self, model: str, version: int, is_full_table: bool = False
+    ) -> None:
         known = self.weight_targets.get(model)
         if known is not None and version <= known.version:
             return
@@ -189,6 +193,7 @@
             model=model,
             version=version,
             previous=known.version if known else None,
+            source="full_table" if is_full_table else "change",
         )
 
     def _apply_servers(self, rows: RowSet, is_full_table: bool) -> None:
