Keep a time limit for each named weight version

What callers saw: prompts ran on weights that had been replaced long before the limit for their use, as soon as the operator named a further version.

Cause: a node kept one target version for each model, with the time at which it learned of it. A newer version replaced both, so that engines on the oldest weights, already excluded, could be used for another 7 s, each time a version was named. The same time decided whether a part that a store holds was computed on the salt's weights, and delayed the first order.

Change: the named versions of a model are kept in order, and an engine is bound by the first one that it lacks. Very many versions are merged towards the earlier limit. The delay of the first order no longer starts anew either.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
@@ -141,7 +141,7 @@
 ) -> None:
     """Infer from a refusal that an engine is loading or has loaded other weights."""
     server = handle.server
-    target = node.routing_state.weight_targets.get(model)
+    target = node.routing_state.weight_targets.get_newest(model)
     known = node.get_known_weight_version(server, model)
     if target is None or known is None:
         return
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -202,11 +202,13 @@
             "n_read": placement.n_read,
             "cost_s": round(placement.cost_s, 4),
         }
-        target = routing_state.weight_targets.get(request_state.request.prompt.model)
-        if placement.has_newer_target and target is not None:
+        successor = routing_state.weight_targets.find_successor(
+            request_state.request.prompt.model, placement.weight_version
+        )
+        if successor is not None:
             node.metrics.count("attempts_on_old_weights_total")
-            fields["named_weights"] = target.version
-            fields["named_weights_age_s"] = round(now - target.noticed_at, 3)
+            fields["named_weights"] = successor.version
+            fields["named_weights_age_s"] = round(now - successor.noticed_at, 3)
     logs.log(
         logs.INFO,
         "attempt",
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -17,28 +17,18 @@
     ServerState,
 )
 from apricotlift.forwarding.feeds import Feed, RowSet, RowSource
+from apricotlift.forwarding.weighttargets import NamedWeights, WeightTargets
 
 #: Time for which lapsed entries are kept once the store is available again. Servers
 #: whose entries lapsed during an outage write them again within two seconds of its end.
 LAPSED_ENTRY_GRACE_S = 2.3
 
 
-@dataclass(frozen=True)
-class WeightTarget:
-    """The weight version that the engines of a model should load.
-
-    :param noticed_at: when this node learned of it.
-    """
-
-    version: int
-    noticed_at: float
-
-
 @dataclass
 class RoutingState:
     """The newest configuration, weight versions and servers, read from the store.
 
-    :param weight_targets: weight version to be loaded, by model.
+    :param weight_targets: weight versions to be loaded.
     :param servers: listed servers by id, draining ones included.
     """
 
@@ -48,7 +38,7 @@
     clock: Callable[[], float] = clocks.monotonic
     configuration: Configuration | None = None
     configured_at: float = 0.0
-    weight_targets: dict[str, WeightTarget] = field(default_factory=dict)
+    weight_targets: WeightTargets = field(default_factory=WeightTargets)
     servers: dict[str, Server] = field(default_factory=dict)
     operator_feed: Feed = field(init=False)
     servers_feed: Feed = field(init=False)
@@ -120,12 +110,10 @@
 
         All nodes list them in the same sequence, in which they are ordered to load.
         """
-        if not self.weight_targets:
-            return []
         outdated = []
         for server in self.list_all_serving():
             for model, loaded in server.weights.items():
-                target = self.weight_targets.get(model)
+                target = self.weight_targets.get_newest(model)
                 if target is not None and loaded < target.version:
                     outdated.append((server, model, target.version))
         return sorted(outdated, key=lambda item: item[0].server_id)
@@ -183,10 +171,9 @@
     def _apply_weights(
         self, model: str, version: int, is_full_table: bool = False
     ) -> None:
-        known = self.weight_targets.get(model)
-        if known is not None and version <= known.version:
+        known = self.weight_targets.get_newest(model)
+        if not self.weight_targets.add(model, NamedWeights(version, self.clock())):
             return
-        self.weight_targets[model] = WeightTarget(version, self.clock())
         logs.log(
             logs.INFO,
             "weights_named",
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/serverselection.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/serverselection.py
@@ -149,19 +149,19 @@
     Engines that lack newly named weights are excluded shortly before the time limit
     for their use is reached.
     """
-    target = node.routing_state.weight_targets.get(model)
+    targets = node.routing_state.weight_targets
     next_to_reload = node.list_next_to_reload(model)
     choices = []
     for server in servers:
         if server.weights and model not in server.weights:
             continue
         weight_version = node.get_known_weight_version(server, model)
-        has_newer_target = target is not None and (weight_version or 0) < target.version
+        successor = targets.find_successor(model, weight_version)
         is_outdated = False
         newer_target_at = None
-        if has_newer_target:
-            newer_target_at = target.noticed_at
-            age_s = now - target.noticed_at
+        if successor is not None:
+            newer_target_at = successor.noticed_at
+            age_s = now - successor.noticed_at
             if age_s > node.weight_update_limit_s - _WEIGHT_DEADLINE_MARGIN_S:
                 continue
             # The engines that are ordered to load next get no new prompts where others
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecleaner.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecleaner.py
@@ -98,10 +98,7 @@
             for server in self.routing_state.servers.values()
             for model, version in server.weights.items()
         }
-        versions.update(
-            (model, target.version)
-            for model, target in self.routing_state.weight_targets.items()
-        )
+        versions.update(self.routing_state.weight_targets.list_newest())
         accounts = list(self._list_accounts())
         return {
             compute_cache_salt(model, version, account)
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
@@ -0,0 +1,98 @@
+from types import SimpleNamespace
+
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.engineloads import EngineLoad
+from apricotlift.forwarding.routingstate import RoutingState
+from apricotlift.forwarding.runtime import Runtime
+from apricotlift.forwarding.servers import ServerHandles
+from apricotlift.forwarding.serverselection import _list_engine_choices
+from apricotlift.forwarding.tests.forwarding_fakes import (
+    Clock,
+    build_dialect,
+    build_rows,
+)
+from behave import given, then, when
+
+
+@given('the engines "{names}" on version 1 and a limit of {seconds:d} seconds')
+def step_engines(context, names, seconds):
+    clock = context.clock = Clock()
+    metrics = Metrics()
+    routing_state = RoutingState(build_dialect(), None, metrics, clock)
+    context.node = Runtime(
+        settings=SimpleNamespace(bounds=SimpleNamespace(weights_ms=seconds * 1000)),
+        dialect=build_dialect(),
+        metrics=metrics,
+        tasks=None,
+        routing_state=routing_state,
+        handles=ServerHandles(metrics, lambda service: 4, clock),
+        budgets=None,
+        suspects=None,
+        cache_index=None,
+        membership=None,
+        engine_loads=SimpleNamespace(get_load=lambda server_id: EngineLoad()),
+        refusals=None,
+    )
+    for name in names.split(", "):
+        load_version(context, name, 1)
+
+
+def load_version(context, name, version):
+    entry = {"service": "svc", "weights": {"m": version}}
+    routing_state = context.node.routing_state
+    routing_state._apply_servers(build_rows((name, entry)), False)
+
+
+def name_version(context, version):
+    row = ("weights/m", {"model": "m", "version": version})
+    context.node.routing_state._apply_operator(build_rows(row), False)
+
+
+def list_choices(context):
+    servers = context.node.routing_state.list_servers("svc")
+    choices = _list_engine_choices(context.node, "m", servers, context.clock())
+    return {choice.handle.server.server_id: choice for choice in choices}
+
+
+@when("version {version:d} is named and {seconds:g} seconds pass")
+def step_name(context, version, seconds):
+    name_version(context, version)
+    context.clock.now += seconds
+
+
+@when("versions {first:d} to {last:d} are named within {seconds:g} seconds")
+def step_name_many(context, first, last, seconds):
+    for version in range(first, last + 1):
+        name_version(context, version)
+        context.clock.now += seconds / (last - first + 1)
+
+
+@when('"{name}" loads version {version:d}')
+def step_load(context, name, version):
+    load_version(context, name, version)
+
+
+@when("{seconds:g} seconds pass")
+def step_wait(context, seconds):
+    context.clock.now += seconds
+
+
+@then('prompts may run on "{names}"')
+def step_usable(context, names):
+    assert sorted(list_choices(context)) == names.split(", "), list_choices(context)
+
+
+@then("prompts may run on none")
+def step_none_usable(context):
+    assert not list_choices(context), list_choices(context)
+
+
+@then('parts may be fetched to "{name}" if they were reported {seconds:g} seconds ago')
+def step_fetchable(context, name, seconds):
+    context.choice = list_choices(context)[name]
+    assert context.clock() - seconds < context.choice.newer_target_at
+
+
+@then("not if they were reported {seconds:g} seconds ago")
+def step_not_fetchable(context, seconds):
+    assert context.clock() - seconds >= context.choice.newer_target_at
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightlimits.feature
@@ -0,0 +1,27 @@
+Feature: Time limits for the use of weights after newer ones were named
+
+  Background:
+    Given the engines "a, b" on version 1 and a limit of 8 seconds
+
+  # Guards against engines whose time limit starts anew whenever a newer version is named.
+  Scenario: A newer version doesn't extend the use of the weights before
+    When version 2 is named and 6 seconds pass
+    And "b" loads version 2
+    And version 3 is named and 1.5 seconds pass
+    Then prompts may run on "b"
+    When 6 seconds pass
+    Then prompts may run on none
+
+  # Guards against time limits that are lost when very many versions are named.
+  Scenario: Very many versions in quick succession keep the limit of the first
+    When versions 2 to 40 are named within 6 seconds
+    And 1.5 seconds pass
+    Then prompts may run on none
+
+  # Guards against parts that were computed with newer weights than their salt says, by
+  # an engine that lacks two versions.
+  Scenario: Parts count as reported after the first version that an engine lacks
+    When version 2 is named and 2 seconds pass
+    And version 3 is named and 1 seconds pass
+    Then parts may be fetched to "a" if they were reported 3.1 seconds ago
+    But not if they were reported 2.9 seconds ago
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -157,9 +157,10 @@
         if self._lease.is_valid():
             return await self._renew_lease()
         now = self.clock()
+        targets = self.routing_state.weight_targets
         noticed_at = min(
-            self.routing_state.weight_targets[model].noticed_at
-            for _, model, _ in outdated
+            targets.find_successor(model, server.weights[model]).noticed_at
+            for server, model, _ in outdated
         )
         ranked = rank_nodes(LEASE_ROW, self.list_live_nodes())
         rank = ranked.index(self.own_name) if self.own_name in ranked else len(ranked)
