Count the limit of old weights from before the newer version was named

What callers saw: prompts on weights replaced 22 s before, at nodes that had restarted meanwhile.

Cause: the time at which a node learned of a version stood for the time at which it was named. A node that starts, wakes or had a silent connection learns late, and so its limit ended late; a restarted node began a new 8 s. Parts in stores were judged by the same time, so that a part computed on newer weights could pass for one of the old.

Change: a feed states when the store last answered before the rows that it passes on. A version counts as named after that time; the first answer of a node tells nothing, so what it names counts as named long ago. An answer that was read long after its poll had to end no longer counts as fresh.

Tests: of the two new scenarios in weightlimits.feature 2 failed on (3 passed), 5 pass now.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -97,6 +97,7 @@
         self._metrics = metrics
         self._clock = clock
         self._confirmed_at = float("-inf")
+        self._unchanged_until = float("-inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
 
@@ -105,6 +106,15 @@
         """Seconds since the store last answered this node or its reader."""
         return self._clock() - self._confirmed_at
 
+    @property
+    def unchanged_until(self) -> float:
+        """Time of the answer before the one whose rows are being applied.
+
+        A row that is new to this node was written after that time. Minus infinity for
+        the first answer, which doesn't tell when its rows were written.
+        """
+        return self._unchanged_until
+
     @property
     def is_failing(self) -> bool:
         """Whether the last read or poll failed."""
@@ -142,21 +152,26 @@
         """
         rows = await self._source.read_table(self.table)
         if rows.version >= self.version:
+            self._unchanged_until = self._confirmed_at
             self._pass_on(rows, True)
 
     async def _load(self) -> None:
+        asked_at = self._clock()
         rows = await self._source.read_table(self.table)
-        self._note_success()
+        self._note_success(self._clock() - asked_at)
         self.version = rows.version
         self._pass_on(rows, True)
         self.is_loaded = True
         self._must_load = False
 
     async def _poll(self) -> None:
+        asked_at = self._clock()
         rows = await self._source.wait_for_changes(
             self.table, self.version, self._poll_s
         )
-        self._note_success(rows.age_s)
+        # A node that was suspended reads an answer long after the store sent it.
+        overdue_s = self._clock() - asked_at - self._poll_s
+        self._note_success(max(rows.age_s, overdue_s))
         self.version = max(self.version, rows.version)
         if rows.rows or rows.is_full_table:
             self._pass_on(rows, rows.is_full_table)
@@ -168,6 +183,7 @@
 
     def _note_success(self, age_s: float = 0.0) -> None:
         now = self._clock()
+        self._unchanged_until = self._confirmed_at
         self._confirmed_at = max(self._confirmed_at, now - age_s)
         if self._failing_since is not None:
             seconds = round(now - self._failing_since, 3)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -75,8 +75,8 @@
 
     :param weight_version: weight version that it has.
     :param load: work that all nodes have given it.
-    :param newer_target_at: when this node learned that the operator named a newer
-        version, ``None`` where there is no newer one.
+    :param newer_target_at: time after which the operator named a newer version,
+        ``None`` where there is no newer one.
     :param is_avoided: whether it refuses work at present or its breaker is open.
     :param is_outdated: whether engines with the newer version are already preferred.
     """
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -208,7 +208,7 @@
         if successor is not None:
             node.metrics.count("attempts_on_old_weights_total")
             fields["named_weights"] = successor.version
-            fields["named_weights_age_s"] = round(now - successor.noticed_at, 3)
+            fields["named_weights_age_s"] = round(now - successor.named_after, 3)
     logs.log(
         logs.INFO,
         "attempt",
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -4,6 +4,7 @@
 decision can take the age of its inputs into account.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -172,7 +173,8 @@
         self, model: str, version: int, is_full_table: bool = False
     ) -> None:
         known = self.weight_targets.get_newest(model)
-        if not self.weight_targets.add(model, NamedWeights(version, self.clock())):
+        named = NamedWeights(version, self.clock(), self.operator_feed.unchanged_until)
+        if not self.weight_targets.add(model, named):
             return
         logs.log(
             logs.INFO,
@@ -181,6 +183,7 @@
             version=version,
             previous=known.version if known else None,
             source="full_table" if is_full_table else "change",
+            named_within_s=_round_age_s(named.noticed_at - named.named_after),
         )
 
     def _apply_servers(self, rows: RowSet, is_full_table: bool) -> None:
@@ -250,3 +253,7 @@
         self._serving_by_service = None
         if self.servers.pop(server_id, None) is not None:
             logs.log(logs.INFO, "server_dropped", server=server_id, reason=reason)
+
+
+def _round_age_s(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/serverselection.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/serverselection.py
@@ -160,10 +160,11 @@
         is_outdated = False
         newer_target_at = None
         if successor is not None:
-            newer_target_at = successor.noticed_at
-            age_s = now - successor.noticed_at
-            if age_s > node.weight_update_limit_s - _WEIGHT_DEADLINE_MARGIN_S:
+            newer_target_at = successor.named_after
+            limit_s = node.weight_update_limit_s - _WEIGHT_DEADLINE_MARGIN_S
+            if now - successor.named_after > limit_s:
                 continue
+            age_s = now - successor.noticed_at
             # The engines that are ordered to load next get no new prompts where others
             # can run them, so that few are still running when the order arrives.
             is_outdated = (
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
@@ -35,6 +35,7 @@
     )
     for name in names.split(", "):
         load_version(context, name, 1)
+    routing_state.operator_feed._note_success()
 
 
 def load_version(context, name, version):
@@ -44,8 +45,15 @@
 
 
 def name_version(context, version):
+    context.node.routing_state.operator_feed._note_success()
+    pass_on_version(context, version, False)
+
+
+def pass_on_version(context, version, is_full_table):
     row = ("weights/m", {"model": "m", "version": version})
-    context.node.routing_state._apply_operator(build_rows(row), False)
+    feed = context.node.routing_state.operator_feed
+    feed._note_success()
+    feed._pass_on(build_rows(row), is_full_table)
 
 
 def list_choices(context):
@@ -54,6 +62,22 @@
     return {choice.handle.server.server_id: choice for choice in choices}
 
 
+@when("the node starts after version {version:d} was named")
+def step_start(context, version):
+    routing_state = context.node.routing_state
+    routing_state.operator_feed = RoutingState(
+        build_dialect(), None, Metrics(), context.clock
+    ).operator_feed
+    routing_state.operator_feed._apply = routing_state._apply_operator
+    pass_on_version(context, version, True)
+
+
+@when("version {version:d} is named {seconds:g} seconds before the node learns of it")
+def step_learn_late(context, version, seconds):
+    context.clock.now += seconds
+    pass_on_version(context, version, False)
+
+
 @when("version {version:d} is named and {seconds:g} seconds pass")
 def step_name(context, version, seconds):
     name_version(context, version)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightlimits.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightlimits.feature
@@ -25,3 +25,18 @@
     And version 3 is named and 1 seconds pass
     Then parts may be fetched to "a" if they were reported 3.1 seconds ago
     But not if they were reported 2.9 seconds ago
+
+  # Guards against old weights that are used past their limit because a node was
+  # suspended, or its connection silent, while a version was named.
+  Scenario: The limit counts from before a node learned of the version
+    When version 2 is named 4 seconds before the node learns of it
+    Then prompts may run on "a, b"
+    When 3.5 seconds pass
+    Then prompts may run on none
+
+  # Guards against a restarted node that counts the limit from its own start.
+  Scenario: A node that starts doesn't use weights that were replaced before
+    When the node starts after version 2 was named
+    Then prompts may run on none
+    When "b" loads version 2
+    Then prompts may run on "b"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weighttargets.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weighttargets.py
@@ -1,11 +1,15 @@
-"""The weight versions that the operator has named, and the time limit of each one.
+"""The weight versions that the operator has named, and what limits the use of others.
 
 A version may be named before the one before it is loaded everywhere. Each version has a
 time limit of its own: an engine that lacks several named versions is bound by the first
 of them, so a later one never extends the use of old weights.
+
+A node may learn of a version long after it was named: after a restart, a suspension or
+the loss of a connection. Limits therefore count from the last time at which the version
+was certainly not named yet, not from when the node learned of it.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 #: Named versions kept for each model; older ones are merged.
 _N_VERSIONS_MAX = 8
@@ -16,10 +20,13 @@
     """A weight version that the engines of a model should load.
 
     :param noticed_at: when this node learned of it.
+    :param named_after: time after which it was named; minus infinity where only the
+        version is known, so that it counts as named long ago.
     """
 
     version: int
     noticed_at: float
+    named_after: float = float("-inf")
 
 
 @dataclass
@@ -40,7 +47,7 @@
         if len(known) > _N_VERSIONS_MAX:
             # The merged entry keeps the earlier time, so that no time limit ends later.
             oldest, second = known[:2]
-            known[:2] = [NamedWeights(second.version, oldest.noticed_at)]
+            known[:2] = [replace(oldest, version=second.version)]
         return True
 
     def get_newest(self, model: str) -> NamedWeights | None:
@@ -57,7 +64,7 @@
         >>> targets.add("m", NamedWeights(3, 15.0))
         True
         >>> targets.find_successor("m", 1)
-        NamedWeights(version=2, noticed_at=10.0)
+        NamedWeights(version=2, noticed_at=10.0, named_after=-inf)
         >>> targets.find_successor("m", 3) is None
         True
 
