Treat a stream without an event as broken

A server that crashed right after its headers may end its connection regularly. A client then got 200 and an empty stream that looked complete.

Cause: the end of a stream was checked for a part of an event only.

A stream that ends regularly before its first event is now broken, whether it has chunks or ends with its connection: another server is asked where the request may be repeated, and the client gets 502 otherwise. A resumed stream may have no further event, and HEAD and 204 have no body.

features/framing.feature tests responses that end with their connection, with standins/framing.py as the server.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -35,6 +35,8 @@
 
 _MIN_SERVER_ERROR_STATUS = 500
 
+_STATUS_NO_CONTENT = 204
+
 
 def get_response_timeout_s(request_state: RequestState) -> float:
     """Return the time limit for the response headers of the current attempt."""
@@ -115,8 +117,8 @@
 ) -> None:
     """Send complete events as they arrive, and skip those that the client already has.
 
-    :raises ApricotliftError: if the stream ends early, inside an event, or contains
-        something else than numbered events.
+    :raises ApricotliftError: if the stream ends early, inside an event or before the
+        first one, or contains something else than numbered events.
     """
     with upstream_response.budget.open_reservation() as reservation:
         splitter = EventSplitter(reservation)
@@ -139,11 +141,7 @@
                     upstream_response.status, _select_headers(upstream_response)
                 )
             await response.send_chunk(data)
-    if splitter.remainder.strip():
-        message = (
-            f"{request_state.server_id} ended its stream in the middle of an event"
-        )
-        raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+    _check_stream_end(request_state, upstream_response, splitter)
     if not response.is_started:
         await response.start(
             upstream_response.status, _select_headers(upstream_response)
@@ -151,6 +149,37 @@
     await response.finish()
 
 
+def _check_stream_end(
+    request_state: RequestState,
+    upstream_response: StreamedResponse,
+    splitter: EventSplitter,
+) -> None:
+    """Raise an error if a stream that ended regularly is no complete response.
+
+    A server that crashes after its headers may end an empty body regularly. A stream
+    that resumes after an event may have no further one.
+
+    :raises ApricotliftError: ``stream_broken``.
+    """
+    message = ""
+    if splitter.remainder.strip():
+        message = "ended its stream in the middle of an event"
+    elif request_state.last_event_id is None and _may_have_body(
+        request_state, upstream_response
+    ):
+        message = "ended its stream without an event"
+    if message:
+        message = f"{request_state.server_id} {message}"
+        raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+
+
+def _may_have_body(
+    request_state: RequestState, upstream_response: StreamedResponse
+) -> bool:
+    is_head = request_state.request.method == "HEAD"
+    return not is_head and upstream_response.status != _STATUS_NO_CONTENT
+
+
 def _get_event_due_at(request_state: RequestState, tracker: AttemptTracker) -> float:
     """Return the time by which the next complete event has to arrive.
 
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -20,6 +20,7 @@
 from apricotlift.core import logs
 
 from standins.endless import EndlessState, send_without_end
+from standins.framing import send_close_delimited
 
 _EVENT_INTERVAL_S = 0.02
 _WEIGHT_LOAD_S = 0.1
@@ -198,6 +199,13 @@
         await send_without_end(stream, argument, own_headers, state.endless)
         entry["left_early"] = True
         raise _ConnectionClosed
+    elif behaviour == "close_delimited":
+        text = body.decode()
+        first_event_number = _get_first_event_number(request)
+        await send_close_delimited(
+            stream, argument, own_headers, text, first_event_number
+        )
+        raise _ConnectionClosed
     elif behaviour == "slow":
         await anyio.sleep(float(argument))
         await _send_response(connection, stream, 200, own_headers, body)
@@ -227,7 +235,7 @@
     Behaviours ``torn`` and ``halved`` then send half an event; ``torn`` closes the
     connection, and ``halved`` ends the body regularly.
     """
-    first_event_number = int(request.headers.get("last-event-id", "0")) + 1
+    first_event_number = _get_first_event_number(request)
     headers = [*own_headers.items(), ("content-type", "text/event-stream")]
     head = h11.Response(status_code=200, headers=headers)
     await stream.send(connection.send(head))
@@ -242,6 +250,10 @@
     await stream.send(connection.send(h11.EndOfMessage()))
 
 
+def _get_first_event_number(request: _Request) -> int:
+    return int(request.headers.get("last-event-id", "0")) + 1
+
+
 async def _send_response(
     connection, stream, status: int, headers: dict, body: bytes, extra: bytes = b""
 ) -> None:
