Don't keep a connection whose server has ended it

After a response that ended with its connection and had no "Connection: close", the connection counted as idle and open, and the estimated cost of the server left out the new connection that the next request needs. No request was sent on it, because its socket is checked before each use.

Cause: h11 reports such a response as done without a closed connection, and only data after the response was looked at. The end of the connection is now looked at as well.

The new framing.feature runs both HTTP clients on responses without a length.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
@@ -226,16 +226,18 @@
         connection = pooled.connection
         # Data after the end of the response belongs to no request. If the connection
         # were reused, the next request would read this data as its own response.
-        is_clean = connection.is_idle() and not connection._h11_state.trailing_data[0]
+        trailing_data, has_ended = connection._h11_state.trailing_data
         if (
-            is_clean
+            connection.is_idle()
+            and not trailing_data
+            and not has_ended
             and self.n_open <= self.n_connections_max
             and pooled.idle_limit_s > 0
         ):
             pooled.idle_since = clocks.monotonic()
             self._idle.append(pooled)
             return
-        if connection.is_idle():
+        if connection.is_idle() and not has_ended:
             self.metrics.count("upstream_connections_dropped_total")
         await self._close_connection(pooled)
 
