Parse events whose CRLF arrives in two parts

An engine's stream with CRLF line ends failed, its end mark included, when the two bytes of a line end arrived in different chunks.

Cause: each chunk's line ends were converted by itself.

The new scenario with CRLF failed before the change (no event was found) and passes now; the one with LF passed before.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/sse.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/sse.py
@@ -44,7 +44,8 @@
         :raises ApricotliftError: ``upstream_protocol`` when an event is longer than
             :data:`MAX_EVENT_BYTES` or isn't valid UTF-8.
         """
-        self._buffer += chunk.replace(b"\r\n", b"\n")
+        # The two bytes of a line end may arrive in different chunks.
+        self._buffer = (self._buffer + chunk).replace(b"\r\n", b"\n")
         *blocks, self._buffer = self._buffer.split(b"\n\n")
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise _build_error(f"an event exceeds {MAX_EVENT_BYTES} bytes")
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/framing.feature
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/framing.feature
@@ -56,3 +56,14 @@
       | pool                   | at most 0.3 seconds | upstream_timeout  |
       | persistent connections | at most 4 bytes     | upstream_protocol |
       | persistent connections | at most 0.3 seconds | upstream_timeout  |
+
+  Scenario Outline: Events are the same however their bytes arrive
+    # Guards against the end mark of a whole stream that isn't recognised, because a line
+    # end of two bytes arrives in two parts.
+    When an event stream with <line end> line ends arrives byte by byte
+    Then its events are "one" and "[DONE]", and the stream is complete
+
+    Examples:
+      | line end |
+      | LF       |
+      | CRLF     |
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/framing_steps.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/framing_steps.py
@@ -7,11 +7,13 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.upstreams.persistentconnections import HttpCall, PersistentConnections
 from apricotlift.upstreams.pool import Pool, Timeouts
+from apricotlift.upstreams.sse import EventParser
 from apricotlift.upstreams.tests.harness import start_standin
 from behave import given, then, when
 
 TIMEOUT_S = 2.0
 MAX_BYTES = 1_000_000
+LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n"}
 
 
 @given("a server whose responses end with their connection")
@@ -108,3 +110,20 @@
 def step_call_fails(context, code):
     assert re.fullmatch("[a-z_]+", code)
     assert context.results == [code], context.results
+
+
+@when("an event stream with {name} line ends arrives byte by byte")
+def step_feed_bytes(context, name):
+    data = b"data: one\n\ndata: [DONE]\n\n".replace(b"\n", LINE_ENDS[name])
+    context.parser = EventParser()
+    context.events = [
+        event
+        for number in range(len(data))
+        for event in context.parser.feed(data[number : number + 1])
+    ]
+
+
+@then('its events are "{first}" and "{second}", and the stream is complete')
+def step_events(context, first, second):
+    assert [event.data for event in context.events] == [first, second], context.events
+    assert context.parser.is_complete
