Don't end an attempt without an error at its time limit

When the headers of a response arrived in the moment in which the time limit for them expired, as on an event loop that is behind, reading the body was cancelled and open_attempt ended without an error, so that its caller went on as after a complete response.

Cause: the limit's cancel scope also enclosed the body, and its cancellation can't be taken back by moving the deadline. The scope now ends with the headers.

The new scenario blocks the event loop over both events.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
@@ -49,22 +49,24 @@
     connections = dispatch.handle.connections
     call = _build_attempt_call(names, request, dispatch)
     connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.05, timeout_s))
-    scope = anyio.CancelScope(deadline=anyio.current_time() + timeout_s)
-    has_response = False
-    with scope:
-        async with connections.open_response(
-            call, connect_timeout_s
-        ) as upstream_response:
-            has_response = True
-            scope.deadline = float("inf")
-            _validate_response(names, request, dispatch, upstream_response)
-            yield upstream_response
-    if scope.cancelled_caught and not has_response:
-        message = (
-            f"{dispatch.handle.server.server_id} sent no response headers within "
-            f"{timeout_s:.3f} s"
-        )
-        raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
+    upstream_response = None
+    async with AsyncExitStack() as stack:
+        # The time limit may expire in the moment in which the headers arrive. The scope
+        # ends before the body is read, so that it can't end the attempt without error.
+        with anyio.move_on_after(timeout_s):
+            upstream_response = await stack.enter_async_context(
+                connections.open_response(call, connect_timeout_s)
+            )
+        if upstream_response is None:
+            message = (
+                f"{dispatch.handle.server.server_id} sent no response headers within "
+                f"{timeout_s:.3f} s"
+            )
+            raise ApricotliftError(
+                Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM
+            )
+        _validate_response(names, request, dispatch, upstream_response)
+        yield upstream_response
 
 
 def _build_attempt_call(
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/attempts_steps.py
@@ -0,0 +1,85 @@
+"""Steps for one attempt at one server."""
+
+import socket
+import threading
+import time
+from types import SimpleNamespace
+
+import anyio
+from apricotlift.core import clocks
+from apricotlift.core.errors import ApricotliftError
+from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.attempts import Dispatch, open_attempt
+from apricotlift.forwarding.tests.forwarding_fakes import NAMES
+from apricotlift.upstreams.persistentconnections import PersistentConnections
+from behave import given, then, when
+
+_TIME_LIMIT_S = 0.15
+_BLOCKED_AFTER_S = 0.02
+_BLOCKED_S = 0.3
+_BODY = b"whole"
+
+
+@given("a server whose response ends with its connection after {delay_s:g} seconds")
+def step_server(context, delay_s):
+    head = f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: r1\r\n{NAMES.origin_stamp}: s\r\n"
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(65_536)
+            time.sleep(delay_s)
+            connection.sendall(head.encode() + b"\r\n" + _BODY)
+
+    threading.Thread(target=serve, daemon=True).start()
+
+
+def block_thread():
+    time.sleep(_BLOCKED_S)
+
+
+@when("the event loop is blocked from before the response until after the time limit")
+def step_run(context):
+    handle = SimpleNamespace(
+        server=SimpleNamespace(server_id="i-1"),
+        connections=PersistentConnections(context.address, 1, Metrics()),
+    )
+    request = SimpleNamespace(
+        method="GET",
+        target="/",
+        headers=(),
+        body=b"",
+        request_id="r1",
+        account=None,
+        deadline_at=clocks.monotonic() + 10.0,
+    )
+    context.result = "neither a response nor an error"
+
+    async def block():
+        await anyio.sleep(_BLOCKED_AFTER_S)
+        block_thread()
+
+    async def attempt():
+        try:
+            async with open_attempt(
+                NAMES, request, Dispatch(handle), _TIME_LIMIT_S
+            ) as response:
+                context.result = "unfinished"
+                context.result = await response.read(1000)
+        except ApricotliftError as error:
+            context.result = str(error.code)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(block)
+            tasks.start_soon(attempt)
+
+    anyio.run(run)
+
+
+@then("the attempt has the whole response or fails with {code:w}")
+def step_result(context, code):
+    assert context.result in (_BODY, code), context.result
