--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
@@ -55,34 +55,35 @@
     connections = dispatch.handle.connections
     call = _build_attempt_call(names, request, dispatch)
     connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.05, timeout_s))
-    scope = anyio.CancelScope(deadline=anyio.current_time() + timeout_s)
-    has_response = False
-    if pending is not None:
-        pending.scope = scope
-    with scope:
-        async with connections.open_response(
-            call, connect_timeout_s
-        ) as upstream_response:
-            has_response = True
-            scope.deadline = float("inf")
+    upstream_response = None
+    async with AsyncExitStack() as stack:
+        # The time limit may expire in the moment in which the headers arrive. The scope
+        # ends before the body is read, so that it can't end the attempt without error.
+        with anyio.move_on_after(timeout_s) as scope:
             if pending is not None:
-                pending.scope = None
-            _validate_response(names, request, dispatch, upstream_response)
-            yield upstream_response
-    if scope.cancelled_caught and pending is not None and pending.is_overdue:
-        message = (
-            f"the weights of {dispatch.handle.server.server_id} were replaced before "
-            "the prompt began"
-        )
-        raise ApricotliftError(
-            Code.WEIGHTS_REPLACED, message, Ran.MAYBE, Scope.UPSTREAM
-        )
-    if scope.cancelled_caught and not has_response:
-        message = (
-            f"{dispatch.handle.server.server_id} sent no response headers within "
-            f"{timeout_s:.3f} s"
-        )
-        raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
+                pending.scope = scope
+            upstream_response = await stack.enter_async_context(
+                connections.open_response(call, connect_timeout_s)
+            )
+        if pending is not None:
+            pending.scope = None
+        if upstream_response is None:
+            is_overdue = pending is not None and pending.is_overdue
+            raise _build_silence_error(dispatch, timeout_s, is_overdue)
+        _validate_response(names, request, dispatch, upstream_response)
+        yield upstream_response
+
+
+def _build_silence_error(
+    dispatch: Dispatch, timeout_s: float, is_overdue: bool
+) -> ApricotliftError:
+    server_id = dispatch.handle.server.server_id
+    code = Code.UPSTREAM_SILENT
+    message = f"{server_id} sent no response headers within {timeout_s:.3f} s"
+    if is_overdue:
+        code = Code.WEIGHTS_REPLACED
+        message = f"the weights of {server_id} were replaced before the prompt began"
+    return ApricotliftError(code, message, Ran.MAYBE, Scope.UPSTREAM)
 
 
 def _build_attempt_call(
