Keep requests away from servers that state they leave or want a pause

A node learned only from the store that a server leaves. A server whose responses say Server-Leaving: 1 went on getting requests while its entry said ready, and without limit while the store was unavailable. A server that refused a request with 503 and Retry-After was avoided for 0.25 s only, and got requests all the same where no other one was left.

Each response head that is the server's own is now read for both statements, before it is validated. They are kept by incarnation, also after the server's handle was swept (4,096 at most). A leaving server gets requests only where no other one of the service can take them, until drain_ms less 0.1 s has passed, and then none; a paused one gets none. Both are checked again when a connection is open, just before the request is sent. Where all servers pause, the request is refused at once as upstream_paused, not run, with the time until the first of them accepts again. [bounds] drain_ms takes the platform's value.

--- a/packages/apricotlift-core/src/apricotlift/core/errors.py
+++ b/packages/apricotlift-core/src/apricotlift/core/errors.py
@@ -77,6 +77,7 @@
     UPSTREAM_CRASHED = "upstream_crashed"
     UPSTREAM_FULL = "upstream_full"
     UPSTREAM_DRAINING = "upstream_draining"
+    UPSTREAM_PAUSED = "upstream_paused"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
@@ -337,7 +337,10 @@
         and error.code is not Code.REQUEST_CRASHES_UPSTREAM
     ):
         delay_s = error.retry_after_s or _RETRY_AFTER_S
-        headers.append(("retry-after", f"{delay_s * random.uniform(0.8, 1.2):.2f}"))
+        # Before the end of a pause, servers would get no request.
+        least_factor = 1.0 if error.code is Code.UPSTREAM_PAUSED else 0.8
+        delay_s *= random.uniform(least_factor, 1.2)
+        headers.append(("retry-after", f"{delay_s:.2f}"))
     await response.send_complete(
         status, headers, json.dumps(error.build_body()).encode()
     )
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
@@ -11,8 +11,10 @@
 import anyio
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.forwarding.availability import check_availability, note_response
 from apricotlift.forwarding.dialect import HeaderNames
 from apricotlift.forwarding.entities import ClientRequest
+from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandle
 from apricotlift.upstreams.persistentconnections import HttpCall, StreamedResponse
 
@@ -38,7 +40,7 @@
 
 @asynccontextmanager
 async def open_attempt(
-    names: HeaderNames, request: ClientRequest, dispatch: Dispatch, timeout_s: float
+    node: Runtime, request: ClientRequest, dispatch: Dispatch, timeout_s: float
 ) -> AsyncIterator[StreamedResponse]:
     """Send a request to a server and yield its response once the headers are received.
 
@@ -46,24 +48,40 @@
     :raises ApricotliftError: if the attempt fails; ``ran`` says whether the request may
         have run.
     """
-    connections = dispatch.handle.connections
+    names = node.dialect.headers
+    handle = dispatch.handle
+    server_id = handle.server.server_id
+
+    def check_before_send() -> None:
+        # The server may have said that it leaves or pauses while a connection was being
+        # opened.
+        check_availability(
+            handle.availability, server_id, clocks.monotonic(), node.drain_time_s
+        )
+
     call = _build_attempt_call(names, request, dispatch)
     connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.05, timeout_s))
     scope = anyio.CancelScope(deadline=anyio.current_time() + timeout_s)
     has_response = False
     with scope:
-        async with connections.open_response(
-            call, connect_timeout_s
+        async with handle.connections.open_response(
+            call, connect_timeout_s, check_before_send
         ) as upstream_response:
             has_response = True
             scope.deadline = float("inf")
+            if _is_own_response(names, request, server_id, upstream_response):
+                note_response(
+                    handle.availability,
+                    server_id,
+                    names,
+                    upstream_response,
+                    clocks.monotonic(),
+                    node.metrics,
+                )
             _validate_response(names, request, dispatch, upstream_response)
             yield upstream_response
     if scope.cancelled_caught and not has_response:
-        message = (
-            f"{dispatch.handle.server.server_id} sent no response headers within "
-            f"{timeout_s:.3f} s"
-        )
+        message = f"{server_id} sent no response headers within {timeout_s:.3f} s"
         raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
 
 
@@ -83,6 +101,20 @@
     return HttpCall(request.method, request.target, tuple(headers), request.body)
 
 
+def _is_own_response(
+    names: HeaderNames,
+    request: ClientRequest,
+    server_id: str,
+    upstream_response: StreamedResponse,
+) -> bool:
+    """Return whether nothing says that another server or request is answered."""
+    echoed_request_id = upstream_response.get_header(names.request_id)
+    answering_server_id = upstream_response.get_header(names.answering_server)
+    return echoed_request_id in (None, request.request_id) and (
+        answering_server_id in (None, server_id)
+    )
+
+
 def _validate_response(
     names: HeaderNames,
     request: ClientRequest,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
@@ -6,6 +6,7 @@
 
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.forwarding.availability import NOT_SENT_CODES
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.entities import Prompt
 from apricotlift.forwarding.placement import Placement
@@ -122,6 +123,8 @@
         node.tasks.start_soon(
             node.suspects.check_for_crash, request_state.fingerprint, handle.server
         )
+    if error.code in NOT_SENT_CODES:
+        return None
     if error.code is Code.UPSTREAM_CONNECT:
         handle.avoided_until = now + _UNREACHABLE_BACKOFF_S
     elif error.ran is Ran.NO:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
@@ -21,6 +21,7 @@
 
     :param origin_stamp: mark by which a server signs its response.
     :param not_run: set by a server that did not run a request.
+    :param leaving: set to ``1`` by a server that is about to stop.
     :param dropped: headers that are removed from clients' requests.
     """
 
@@ -38,6 +39,7 @@
     cache_salt: str
     kv_fetch: str
     kv_save: str
+    leaving: str
     dropped: frozenset[str] = frozenset()
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -5,6 +5,7 @@
 from apricotlift.core.errors import ApricotliftError, Code, Ran
 from apricotlift.forwarding.attempts import Dispatch, open_attempt
 from apricotlift.forwarding.attempttracking import track_attempt
+from apricotlift.forwarding.availability import NOT_SENT_CODES
 from apricotlift.forwarding.entities import ClientRequest
 from apricotlift.forwarding.placement import Placement
 from apricotlift.forwarding.requeststate import ClientResponse, RequestState
@@ -26,6 +27,9 @@
 
 _RETRY_BACKOFF_S = 0.005
 
+#: After these errors the request has reached no server.
+_UNCHARGED_CODES = (Code.UPSTREAM_CONNECT, *NOT_SENT_CODES)
+
 
 async def serve_request(
     node: Runtime, request: ClientRequest, response: ClientResponse
@@ -115,7 +119,7 @@
         request_state.tried_server_ids.add(handle.server.server_id)
     if response.is_started and not route.is_resumable:
         decision_code, is_retried, delay_s = Code.MAY_HAVE_RUN, False, 0.0
-    elif error.code is Code.UPSTREAM_CONNECT and request_state.n_refused < n_max:
+    elif error.code in _UNCHARGED_CODES and request_state.n_refused < n_max:
         # The request reached no server, so the retry isn't charged to the budget that
         # all nodes share.
         decision_code, is_retried, delay_s = None, True, 0.0
@@ -169,9 +173,7 @@
     due_at = clocks.monotonic() + timeout_s
     async with (
         track_attempt(node, request_state, handle, placement) as tracker,
-        open_attempt(
-            node.dialect.headers, request, dispatch, timeout_s
-        ) as upstream_response,
+        open_attempt(node, request, dispatch, timeout_s) as upstream_response,
     ):
         is_stream = request.route.is_stream and is_event_stream(upstream_response)
         if is_stream and upstream_response.status < 300:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -68,6 +68,11 @@
         """Time limit for using a weight version after it was named, in seconds."""
         return self.settings.bounds.weights_ms / 1000
 
+    @property
+    def drain_time_s(self) -> float:
+        """Time after which a leaving server gets no request, in seconds."""
+        return self.settings.bounds.drain_ms / 1000
+
     @property
     def configuration_age_max_s(self) -> float:
         """Age of the configuration up to which what it lacks counts as unknown."""
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/servers.py
@@ -11,6 +11,7 @@
 
 from apricotlift.core import clocks, logs
 from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.availability import Availability
 from apricotlift.forwarding.entities import Server
 from apricotlift.policy.breaker import Breaker, BreakerSettings
 from apricotlift.upstreams.persistentconnections import PersistentConnections
@@ -41,6 +42,10 @@
 #: A new connection takes a round trip, and work of the server.
 _NEW_CONNECTION_COST_S = 0.01
 
+#: Statements of so many servers without a handle are kept, the newest ones, because the
+#: entry of the same incarnation may come back.
+N_KEPT_STATEMENTS = 4096
+
 
 @dataclass
 class ServerHandle:
@@ -50,6 +55,7 @@
     :param latency_s: moving average of the time to the first event or the response.
     :param avoided_until: time until which the server is avoided because it refused
         work, was unreachable, or loads weights.
+    :param availability: what the server has stated about taking requests.
     """
 
     server: Server
@@ -58,6 +64,7 @@
     n_in_flight: int = 0
     latency_s: float = _INITIAL_LATENCY_S
     avoided_until: float = 0.0
+    availability: Availability = field(default_factory=Availability)
     _failure_share: float = 0.0
     _failure_at: float = 0.0
 
@@ -105,6 +112,7 @@
     clock: Callable[[], float] = clocks.monotonic
     budget: ReadBudget = field(default_factory=ReadBudget)
     _handles: dict[tuple, ServerHandle] = field(default_factory=dict)
+    _kept_statements: dict[tuple, Availability] = field(default_factory=dict)
 
     def get(self, server: Server) -> ServerHandle:
         """Return the handle of a server's incarnation, creating it where needed."""
@@ -117,6 +125,8 @@
                 self.budget,
             )
             handle = ServerHandle(server, connections, Breaker(BREAKER_SETTINGS))
+            kept = self._kept_statements.pop(server.incarnation, None)
+            handle.availability = kept or handle.availability
             self._handles[server.incarnation] = handle
         if server.weights != handle.server.weights:
             # The engine refused work while it loaded these weights.
@@ -140,15 +150,45 @@
             await handle.connections.close_stale()
             if handle.n_in_flight == 0 and not is_in_use(handle.server):
                 del self._handles[key]
+                self._keep_statement(key, handle.availability)
                 await handle.connections.close()
                 logs.log(logs.INFO, "server_forgotten", server=handle.server.server_id)
 
+    def _keep_statement(self, key: tuple, availability: Availability) -> None:
+        if not availability.is_stated(self.clock()):
+            return
+        self._kept_statements[key] = availability
+        if len(self._kept_statements) > N_KEPT_STATEMENTS:
+            del self._kept_statements[next(iter(self._kept_statements))]
+
     async def close(self) -> None:
         """Close all idle connections."""
         for handle in self._handles.values():
             await handle.connections.close()
 
 
+def group_usable_handles(
+    handles: Iterable[ServerHandle], now: float, drain_s: float
+) -> list[list[ServerHandle]]:
+    """Return the servers that may get a request, by what they have stated.
+
+    Paused servers and those whose drain time is over are left out.
+
+    :param drain_s: time after which a leaving server gets no request.
+    :returns: up to two groups, neither of them empty: servers that stay, and leaving
+        ones, which may be used only where none of the first group can be.
+    """
+    usable = [
+        handle
+        for handle in handles
+        if not handle.availability.is_paused(now)
+        and not handle.availability.has_left(now, drain_s)
+    ]
+    staying = [handle for handle in usable if not handle.availability.is_leaving]
+    leaving = [handle for handle in usable if handle.availability.is_leaving]
+    return [group for group in (staying, leaving) if group]
+
+
 def choose_server(
     handles: Iterable[ServerHandle],
     own_domain: str,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/serverselection.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/serverselection.py
@@ -4,6 +4,7 @@
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.admission import check_engine_memory, choose_engine_priority
 from apricotlift.forwarding.attempts import Dispatch
+from apricotlift.forwarding.availability import RETRY_AFTER_MAX_S, get_pause_left_s
 from apricotlift.forwarding.entities import ClientRequest, Server, Service
 from apricotlift.forwarding.placement import (
     EngineChoice,
@@ -15,7 +16,11 @@
 )
 from apricotlift.forwarding.requeststate import RequestState
 from apricotlift.forwarding.runtime import Runtime
-from apricotlift.forwarding.servers import choose_server
+from apricotlift.forwarding.servers import (
+    ServerHandle,
+    choose_server,
+    group_usable_handles,
+)
 
 _RETRY_AFTER_S = 0.3
 
@@ -52,37 +57,72 @@
     :returns: the placement of a prompt, which names the cached parts to fetch, or
         ``None`` for other requests; and where to send the attempt.
     :raises ApricotliftError: ``no_upstream`` if no server is left to try,
+        ``upstream_paused`` if all servers of the service want no request for a while,
         ``slot_not_loaded`` if no engine has the model's weights, or ``overloaded``.
     """
     request = request_state.request
     now = clocks.monotonic()
-    listed = node.routing_state.list_servers(request_state.service.name)
-    servers = [
-        server
-        for server in listed
-        if server.server_id not in request_state.tried_server_ids
+    listed = [
+        node.handles.get(server)
+        for server in node.routing_state.list_servers(request_state.service.name)
+    ]
+    untried = [
+        handle
+        for handle in listed
+        if handle.server.server_id not in request_state.tried_server_ids
     ]
-    if not servers:
+    groups = group_usable_handles(untried, now, node.drain_time_s)
+    if not groups:
+        raise _build_no_server_error(node, request_state.service.name, listed, now)
+    if request_state.service.engine is not None and request.prompt is not None:
+        return _choose_engine(node, request_state, groups, now)
+    handle = choose_server(groups[0], node.failure_domain, now, node.random)
+    return None, Dispatch(handle, last_event_id=request_state.last_event_id)
+
+
+def _build_no_server_error(
+    node: Runtime, service: str, listed: list[ServerHandle], now: float
+) -> ApricotliftError:
+    """Return the error for a request that no server of its service may get.
+
+    Where all servers want a pause, it says when the first one takes requests again.
+    """
+    pause_left_s = get_pause_left_s(
+        (handle.availability for handle in listed), now, node.drain_time_s
+    )
+    if pause_left_s is not None:
         message = (
-            f"no server of service {request_state.service.name} is left to try, out of "
-            f"{len(listed)} that accept requests"
+            f"all servers of service {service} want no request for {pause_left_s:.3f} s"
         )
-        raise ApricotliftError(
-            Code.NO_UPSTREAM, message, Ran.NO, Scope.UPSTREAM, _RETRY_AFTER_S
+        retry_after_s = min(pause_left_s, RETRY_AFTER_MAX_S)
+        return ApricotliftError(
+            Code.UPSTREAM_PAUSED, message, Ran.NO, Scope.UPSTREAM, retry_after_s
         )
-    if request_state.service.engine is not None and request.prompt is not None:
-        return _choose_engine(node, request_state, servers, now)
-    handles = [node.handles.get(server) for server in servers]
-    handle = choose_server(handles, node.failure_domain, now, node.random)
-    return None, Dispatch(handle, last_event_id=request_state.last_event_id)
+    n_left = sum(
+        handle.availability.has_left(now, node.drain_time_s) for handle in listed
+    )
+    message = (
+        f"no server of service {service} is left to try, out of {len(listed)} that are "
+        f"listed, {n_left} of which leave"
+    )
+    return ApricotliftError(
+        Code.NO_UPSTREAM, message, Ran.NO, Scope.UPSTREAM, _RETRY_AFTER_S
+    )
 
 
 def _choose_engine(
-    node: Runtime, request_state: RequestState, servers: list[Server], now: float
+    node: Runtime,
+    request_state: RequestState,
+    groups: list[list[ServerHandle]],
+    now: float,
 ) -> tuple[Placement, Dispatch]:
     request = request_state.request
     prompt = request.prompt
-    choices = _list_engine_choices(node, prompt.model, servers, now)
+    choices = []
+    for group in groups:
+        servers = [handle.server for handle in group]
+        # A leaving engine is used where none of the others has the weights.
+        choices = choices or _list_engine_choices(node, prompt.model, servers, now)
     is_resubmission = node.refusals.is_resubmission(request)
     if request_state.n_attempts == 0:
         _check_engine_capacity(node, request_state, choices, is_resubmission)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -49,6 +49,7 @@
     order_lease_ms: Milliseconds = 3000.0
     weights_ms: Milliseconds = 8000.0
     configuration_ms: Milliseconds = 2000.0
+    drain_ms: Milliseconds = 2000.0
     retry_share: Annotated[float, Field(ge=0)] = 0.2
     n_retries: Annotated[float, Field(ge=0)] = 50.0
     directory_ttl_max_s: Seconds = 5.0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -39,6 +39,7 @@
             "salt",
             "fetch",
             "save",
+            "leaving",
         )
     )
 )
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/settings.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/settings.feature
@@ -5,6 +5,12 @@
   Scenario: A key without a value has its default
     Given a settings file with "weights_ms" empty
     Then the settings have the default for "weights_ms"
+    And the drain time is 2000 ms
+
+  # Guards against a drain time of the platform that the node doesn't take over.
+  Scenario: The drain time is read
+    Given a settings file with "drain_ms" of 4000
+    Then the drain time is 4000 ms
 
   # Guards against a loader that stops at the first error, so that an operator finds the
   # errors of a file one start at a time.
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/settings_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/settings_steps.py
@@ -47,6 +47,17 @@
     load_file(context, weights_ms=value, extra=f"{key} = x\n")
 
 
+@given('a settings file with "drain_ms" of {drain_ms:d}')
+def step_drain_time_set(context, drain_ms):
+    load_file(context, weights_ms=f"\ndrain_ms = {drain_ms}")
+
+
+@then("the drain time is {drain_ms:d} ms")
+def step_drain_time(context, drain_ms):
+    assert not context.findings, context.findings
+    assert context.settings.bounds.drain_ms == drain_ms
+
+
 @given('a settings file with "callers" empty')
 def step_empty_address(context):
     load_file(context, callers="")
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
@@ -7,7 +7,7 @@
 """
 
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
@@ -132,7 +132,10 @@
 
     @asynccontextmanager
     async def open_response(
-        self, call: HttpCall, connect_timeout_s: float
+        self,
+        call: HttpCall,
+        connect_timeout_s: float,
+        check_before_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response.
 
@@ -140,6 +143,8 @@
         the server to stop.
 
         :param connect_timeout_s: time limit in seconds for opening a connection.
+        :param check_before_send: called once the connection is open; raises an error if
+            the request may no longer be sent.
         :raises ApricotliftError: ``upstream_connect`` or ``upstream_full`` when the
             request did not run; ``stream_broken`` or ``upstream_timeout`` when it may
             have run.
@@ -147,6 +152,7 @@
         pooled = await self._acquire_connection(connect_timeout_s)
         async with AsyncExitStack() as stack:
             stack.push_async_callback(self._release_connection, pooled)
+            check_before_send()
             try:
                 raw = await pooled.connection.handle_async_request(
                     _build_request(self.address, call)
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -4,8 +4,9 @@
 lists behaviours separated by commas: the n-th one applies when the request id arrives
 for the n-th time at any of the addresses, and the last one from then on. ``GET /_seen``
 returns the received requests and weight orders, and ``POST /_dead`` sets which servers
-close each connection. The servers also load weights as engines do, and answer
-``/kv-events`` without any events.
+close each connection. From the behaviour ``leaving:STATUS`` on, each response of that
+server says that it leaves; ``busy:SECONDS`` refuses a request and asks for a pause. The
+servers also load weights as engines do, and answer ``/kv-events`` without any events.
 """
 
 import contextlib
@@ -36,6 +37,7 @@
     :param weights: version of each model by server.
     :param orders: received orders to load weights.
     :param dead_servers: servers that close each connection without an answer.
+    :param leaving_servers: servers that say in each response that they leave.
     :param n_connections: connections accepted so far.
     :param endless: what was sent in responses without end.
     """
@@ -45,6 +47,7 @@
     weights: dict[str, dict[str, int]] = field(default_factory=dict)
     orders: list[dict] = field(default_factory=list)
     dead_servers: set[str] = field(default_factory=set)
+    leaving_servers: set[str] = field(default_factory=set)
     n_connections: int = 0
     endless: EndlessState = field(default_factory=EndlessState)
 
@@ -151,7 +154,8 @@
         "target": request.target,
         "headers": request.headers,
         "n_body": len(request.body),
-        "ran": behaviour != "shed",
+        "at": time.monotonic(),
+        "ran": behaviour not in ("shed", "busy"),
         "left_early": False,
     }
     state.seen.append(entry)
@@ -161,14 +165,26 @@
         await _send_response(connection, stream, 421, {"x-instance-id": name}, b"")
         return
     own_headers = {"x-request-id": request_id, "x-server-stamp": f"stamp.{name}"}
+    if behaviour == "leaving":
+        state.leaving_servers.add(name)
+    if name in state.leaving_servers:
+        own_headers["server-leaving"] = "1"
     body = f"{name} ran {request_id}".encode()
     if behaviour == "ok":
         await _send_response(connection, stream, 200, own_headers, body)
+    elif behaviour == "leaving":
+        status = int(argument or 200)
+        await _send_response(connection, stream, status, own_headers, body)
     elif behaviour == "status":
         await _send_response(connection, stream, int(argument), own_headers, b"failed")
     elif behaviour == "shed":
         not_run_headers = {"x-not-executed": "1", "x-request-id": request_id}
         await _send_response(connection, stream, 503, not_run_headers, b"")
+    elif behaviour == "busy":
+        busy_headers = {"x-not-executed": "1", "retry-after": argument}
+        await _send_response(
+            connection, stream, 503, {**own_headers, **busy_headers}, b""
+        )
     elif behaviour == "cut":
         raise _ConnectionClosed
     elif behaviour == "short":
