Test that a request called off after connecting isn't sent

The check just before a request is sent was only tested with a stand-in for the connections, so no test would have failed if the connections left it out. The new scenario uses a real listener.

--- /dev/null
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/persistentconnections_steps.py
@@ -0,0 +1,58 @@
+import anyio
+from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.metrics import Metrics
+from apricotlift.upstreams.persistentconnections import HttpCall, PersistentConnections
+from behave import given, then, when
+
+
+@given("a server that counts the bytes it receives")
+def step_counting_server(context):
+    context.n_accepted = 0
+    context.n_received = 0
+
+
+@when("a request is called off by its check once the connection is open")
+def step_call_off(context):
+    async def count(stream):
+        context.n_accepted += 1
+        async with stream:
+            async for data in stream:
+                context.n_received += len(data)
+
+    def call_off():
+        raise ApricotliftError(Code.UPSTREAM_PAUSED, "called off")
+
+    async def expect_refusal():
+        try:
+            async with context.connections.open_response(
+                HttpCall("GET", "/"), 5.0, call_off
+            ):
+                raise AssertionError("the request was sent")
+        except ApricotliftError as error:
+            assert error.code is Code.UPSTREAM_PAUSED, error
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        context.connections = PersistentConnections(f"127.0.0.1:{port}", 4, Metrics())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, count)
+            with anyio.fail_after(5):
+                await expect_refusal()
+            with anyio.fail_after(5):
+                while not context.n_accepted:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("the server accepted {n:d} connection and received {n_bytes:d} bytes")
+def step_counts(context, n, n_bytes):
+    found = (context.n_accepted, context.n_received)
+    assert found == (n, n_bytes), found
+
+
+@then("no connection is open")
+def step_none_open(context):
+    assert context.connections.n_open == 0, context.connections.n_open
