--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
@@ -11,9 +11,11 @@
 import anyio
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
+from apricotlift.forwarding.availability import check_availability, note_response
 from apricotlift.forwarding.dialect import HeaderNames
 from apricotlift.forwarding.entities import ClientRequest
 from apricotlift.forwarding.pendingprompts import PendingPrompt
+from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandle
 from apricotlift.upstreams.persistentconnections import HttpCall, StreamedResponse
 
@@ -39,7 +41,7 @@
 
 @asynccontextmanager
 async def open_attempt(
-    names: HeaderNames,
+    node: Runtime,
     request: ClientRequest,
     dispatch: Dispatch,
     timeout_s: float,
@@ -52,7 +54,17 @@
     :raises ApricotliftError: if the attempt fails; ``ran`` says whether the request may
         have run.
     """
-    connections = dispatch.handle.connections
+    names = node.dialect.headers
+    handle = dispatch.handle
+    server_id = handle.server.server_id
+
+    def check_before_send() -> None:
+        # The server may have said that it leaves or pauses while a connection was being
+        # opened.
+        check_availability(
+            handle.availability, server_id, clocks.monotonic(), node.drain_time_s
+        )
+
     call = _build_attempt_call(names, request, dispatch)
     connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.05, timeout_s))
     upstream_response = None
@@ -63,21 +75,31 @@
             if pending is not None:
                 pending.scope = scope
             upstream_response = await stack.enter_async_context(
-                connections.open_response(call, connect_timeout_s)
+                handle.connections.open_response(
+                    call, connect_timeout_s, check_before_send
+                )
             )
         if pending is not None:
             pending.scope = None
         if upstream_response is None:
             is_overdue = pending is not None and pending.is_overdue
-            raise _build_silence_error(dispatch, timeout_s, is_overdue)
+            raise _build_silence_error(server_id, timeout_s, is_overdue)
+        if _is_own_response(names, request, server_id, upstream_response):
+            note_response(
+                handle.availability,
+                server_id,
+                names,
+                upstream_response,
+                clocks.monotonic(),
+                node.metrics,
+            )
         _validate_response(names, request, dispatch, upstream_response)
         yield upstream_response
 
 
 def _build_silence_error(
-    dispatch: Dispatch, timeout_s: float, is_overdue: bool
+    server_id: str, timeout_s: float, is_overdue: bool
 ) -> ApricotliftError:
-    server_id = dispatch.handle.server.server_id
     code = Code.UPSTREAM_SILENT
     message = f"{server_id} sent no response headers within {timeout_s:.3f} s"
     if is_overdue:
@@ -102,6 +124,20 @@
     return HttpCall(request.method, request.target, tuple(headers), request.body)
 
 
+def _is_own_response(
+    names: HeaderNames,
+    request: ClientRequest,
+    server_id: str,
+    upstream_response: StreamedResponse,
+) -> bool:
+    """Return whether nothing says that another server or request is answered."""
+    echoed_request_id = upstream_response.get_header(names.request_id)
+    answering_server_id = upstream_response.get_header(names.answering_server)
+    return echoed_request_id in (None, request.request_id) and (
+        answering_server_id in (None, server_id)
+    )
+
+
 def _validate_response(
     names: HeaderNames,
     request: ClientRequest,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -7,6 +7,7 @@
 from apricotlift.core.errors import ApricotliftError, Code, Ran
 from apricotlift.forwarding.attempts import Dispatch, open_attempt
 from apricotlift.forwarding.attempttracking import track_attempt
+from apricotlift.forwarding.availability import NOT_SENT_CODES
 from apricotlift.forwarding.entities import ClientRequest
 from apricotlift.forwarding.pendingprompts import PendingPrompt
 from apricotlift.forwarding.placement import Placement
@@ -29,6 +30,9 @@
 
 _RETRY_BACKOFF_S = 0.005
 
+#: After these errors the request has reached no server.
+_UNCHARGED_CODES = (Code.UPSTREAM_CONNECT, *NOT_SENT_CODES)
+
 
 async def serve_request(
     node: Runtime, request: ClientRequest, response: ClientResponse
@@ -118,7 +122,7 @@
         request_state.tried_server_ids.add(handle.server.server_id)
     if response.is_started and not route.is_resumable:
         decision_code, is_retried, delay_s = Code.MAY_HAVE_RUN, False, 0.0
-    elif error.code is Code.UPSTREAM_CONNECT and request_state.n_refused < n_max:
+    elif error.code in _UNCHARGED_CODES and request_state.n_refused < n_max:
         # The request reached no server, so the retry isn't charged to the budget that
         # all nodes share.
         decision_code, is_retried, delay_s = None, True, 0.0
@@ -174,7 +178,7 @@
         async with (
             track_attempt(node, request_state, handle, placement) as tracker,
             open_attempt(
-                node.dialect.headers, request, dispatch, timeout_s, pending
+                node, request, dispatch, timeout_s, pending
             ) as upstream_response,
         ):
             is_stream = request.route.is_stream and is_event_stream(upstream_response)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -85,6 +85,11 @@
         limit_s = self.settings.bounds.weights_ms / 1000 - _WEIGHT_LIMIT_MARGIN_S
         return self.routing_state.clock() - successor.named_after <= limit_s
 
+    @property
+    def drain_time_s(self) -> float:
+        """Time after which a leaving server gets no request, in seconds."""
+        return self.settings.bounds.drain_ms / 1000
+
     @property
     def configuration_age_max_s(self) -> float:
         """Age of the configuration up to which what it lacks counts as unknown."""
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/attempts_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/attempts_steps.py
@@ -10,7 +10,8 @@
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.attempts import Dispatch, open_attempt
-from apricotlift.forwarding.tests.forwarding_fakes import NAMES
+from apricotlift.forwarding.availability import Availability
+from apricotlift.forwarding.tests.forwarding_fakes import NAMES, build_dialect
 from apricotlift.upstreams.persistentconnections import PersistentConnections
 from behave import given, then, when
 
@@ -46,7 +47,9 @@
     handle = SimpleNamespace(
         server=SimpleNamespace(server_id="i-1"),
         connections=PersistentConnections(context.address, 1, Metrics()),
+        availability=Availability(),
     )
+    node = SimpleNamespace(dialect=build_dialect(), drain_time_s=2.0, metrics=Metrics())
     request = SimpleNamespace(
         method="GET",
         target="/",
@@ -65,7 +68,7 @@
     async def attempt():
         try:
             async with open_attempt(
-                NAMES, request, Dispatch(handle), _TIME_LIMIT_S
+                node, request, Dispatch(handle), _TIME_LIMIT_S
             ) as response:
                 context.result = "unfinished"
                 context.result = await response.read(1000)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
@@ -7,6 +7,7 @@
 from apricotlift.core.errors import ApricotliftError, Ran
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.attempts import Dispatch, open_attempt
+from apricotlift.forwarding.availability import Availability
 from apricotlift.forwarding.engineloads import EngineLoad
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.forwarding.runtime import Runtime
@@ -27,7 +28,9 @@
     metrics = Metrics()
     routing_state = RoutingState(build_dialect(), None, metrics, clock)
     context.node = Runtime(
-        settings=SimpleNamespace(bounds=SimpleNamespace(weights_ms=seconds * 1000)),
+        settings=SimpleNamespace(
+            bounds=SimpleNamespace(weights_ms=seconds * 1000, drain_ms=2000)
+        ),
         dialect=build_dialect(),
         metrics=metrics,
         tasks=None,
@@ -139,7 +142,7 @@
         self.has_head = has_head
 
     @asynccontextmanager
-    async def open_response(self, call, connect_timeout_s):
+    async def open_response(self, call, connect_timeout_s, check_before_send):
         if not self.has_head:
             await anyio.sleep(math.inf)
         values = {NAMES.request_id: "r1", NAMES.origin_stamp: "s"}
@@ -155,7 +158,11 @@
 async def wait_for_response(context):
     node = context.node
     connections = SilentConnections(context.has_head)
-    handle = SimpleNamespace(connections=connections, server=context.prompt_server)
+    handle = SimpleNamespace(
+        connections=connections,
+        server=context.prompt_server,
+        availability=Availability(),
+    )
     request = SimpleNamespace(
         method="POST",
         target="/",
@@ -166,7 +173,7 @@
         deadline_at=clocks.monotonic() + 60,
     )
     with node.pending_prompts.watch("m", 1) as pending:
-        async with open_attempt(NAMES, request, Dispatch(handle), 60.0, pending):
+        async with open_attempt(node, request, Dispatch(handle), 60.0, pending):
             await anyio.sleep(math.inf)
 
 
