Refuse prompt parts that crash engines

Callers saw engines crash one after the other: prompts with different bodies shared one part that crashes each engine which begins to answer on it. The fingerprint of a whole request never reached the limit, each such prompt was also retried at a second engine, and every request that an engine broke off wrote a row of its own.

Crashes now count against the shared parts of the prompts whose answers weren't under way, once for each incarnation. A part with three crashes is refused at all nodes for 10 minutes, unless an answer has cleared it since or another part explains its crashes (crashevidence). A node writes one row per crash (crashreports), and rows of the parts that it has cleared. The retry of a prompt that was broken off waits for the crash check, isn't made at the limit, and never reaches a third engine after a crash. All nodes delete rows whose writer has died, and what a node keeps is bounded.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
@@ -6,12 +6,15 @@
 
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.forwarding.crashchecks import BrokenRequest
+from apricotlift.forwarding.crashreports import list_part_keys
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.entities import Prompt
 from apricotlift.forwarding.placement import Placement
 from apricotlift.forwarding.requeststate import RequestState
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import WEIGHT_LOAD_BACKOFF_S, ServerHandle
+from apricotlift.forwarding.suspects import Suspects
 from apricotlift.wire.messages import PlacementNote
 
 _REFUSAL_BACKOFF_S = 0.25
@@ -20,6 +23,12 @@
 #: avoided.
 _UNREACHABLE_BACKOFF_S = 1.0
 
+#: An engine that crashes on a prompt does so as it begins the answer. An answer that
+#: has been under way for longer shows that its prompt isn't the cause.
+_ANSWERING_AFTER_S = 0.5
+#: Pause between two notes that the answer to a prompt is under way.
+_ANSWER_NOTE_INTERVAL_S = 0.2
+
 
 @dataclass
 class AttemptTracker:
@@ -29,16 +38,32 @@
     :param started_at: time on the clock of :mod:`apricotlift.core.clocks`.
     :param note: the message that counts the attempt at an engine for all nodes,
         ``None`` for other servers.
-    :param has_first_event: whether the first event has arrived.
+    :param first_event_at: when the first event arrived.
     """
 
     handle: ServerHandle
     loads: EngineLoads
+    suspects: Suspects
     placement: Placement | None
     prompt: Prompt | None
     started_at: float
     note: PlacementNote | None = None
-    has_first_event: bool = False
+    first_event_at: float | None = None
+    _answer_noted_at: float = float("-inf")
+
+    @property
+    def has_first_event(self) -> bool:
+        """Whether the first event has arrived."""
+        return self.first_event_at is not None
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether an engine has been writing the answer to a prompt for a while."""
+        return (
+            self.placement is not None
+            and self.first_event_at is not None
+            and clocks.monotonic() - self.first_event_at > _ANSWERING_AFTER_S
+        )
 
     def begin(self) -> None:
         """Count the attempt at its server."""
@@ -52,13 +77,25 @@
                 self.prompt.n_own,
             )
 
-    def note_first_event(self) -> None:
-        """Record the latency of the first event; later events are ignored."""
-        if not self.has_first_event:
-            self.has_first_event = True
-            self.handle.note_latency(clocks.monotonic() - self.started_at)
+    def note_event(self) -> None:
+        """Record the latency of the first event, and that the answer is under way."""
+        now = clocks.monotonic()
+        if self.first_event_at is None:
+            self.first_event_at = now
+            self.handle.note_latency(now - self.started_at)
             if self.note is not None:
                 self.loads.note_prefilled(self.note)
+        is_note_due = now >= self._answer_noted_at + _ANSWER_NOTE_INTERVAL_S
+        if is_note_due and self.is_answering:
+            self._answer_noted_at = now
+            self.suspects.note_answer(self.prompt)
+
+    def note_complete(self, is_stream: bool) -> None:
+        """Record a complete response; a stream without any event is no answer."""
+        if is_stream and not self.has_first_event:
+            return
+        if self.placement is not None:
+            self.suspects.note_answer(self.prompt)
 
     def end(self) -> None:
         """Stop counting the attempt."""
@@ -80,7 +117,12 @@
     """
     now = clocks.monotonic()
     tracker = AttemptTracker(
-        handle, node.engine_loads, placement, request_state.request.prompt, now
+        handle,
+        node.engine_loads,
+        node.suspects,
+        placement,
+        request_state.request.prompt,
+        now,
     )
     ticket = handle.breaker.begin(now)
     tracker.begin()
@@ -91,7 +133,7 @@
         if not tracker.has_first_event:
             handle.note_latency(clocks.monotonic() - now)
     except ApricotliftError as error:
-        is_success = _classify_error(node, request_state, handle, placement, error)
+        is_success = _classify_error(node, request_state, tracker, error)
         raise
     finally:
         tracker.end()
@@ -108,8 +150,7 @@
 def _classify_error(
     node: Runtime,
     request_state: RequestState,
-    handle: ServerHandle,
-    placement: Placement | None,
+    tracker: AttemptTracker,
     error: ApricotliftError,
 ) -> bool | None:
     """Back off from the server after an error, as far as the error calls for it.
@@ -118,10 +159,16 @@
         it counts neither as failure nor as success.
     """
     now = clocks.monotonic()
+    handle = tracker.handle
+    placement = tracker.placement
     if error.code is Code.STREAM_BROKEN:
-        node.tasks.start_soon(
-            node.suspects.check_for_crash, request_state.fingerprint, handle.server
+        parts = list_part_keys(tracker.prompt) if placement is not None else ()
+        broken = BrokenRequest(
+            request_state.fingerprint, tuple(parts), tracker.is_answering
         )
+        check = node.suspects.begin_check(handle.server, broken, node.tasks.start_soon)
+        if placement is not None and not tracker.is_answering:
+            request_state.crash_check = check
     if error.code is Code.UPSTREAM_CONNECT:
         handle.avoided_until = now + _UNREACHABLE_BACKOFF_S
     elif error.ran is Ran.NO:
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
@@ -0,0 +1,184 @@
+"""Decides which prompt parts crash engines, from the crashes that all nodes report.
+
+A part that crashes engines is in a request that each of these crashes broke off before
+its answer was under way. So are other parts: the guilty request has several of them,
+and an engine runs other requests as well. Three observations tell them apart:
+
+- A part on which an engine has written an answer is sound. Such an answer clears it:
+  its crashes until then don't count any more, at any node.
+- Crashes may follow each other faster than an answer on a sound part can be noticed and
+  reported. A part that was answered shortly before its crashes is therefore refused
+  only once there has been time for another answer. A report names such parts, because
+  the node that decides may have seen none of their answers.
+- A crash that another part explains doesn't count: one with more crashes, or with as
+  many and further back in the prompt, where parts are shared by fewer requests. This
+  covers sound parts that are requested seldom, and so are cleared late. If the choice
+  among parts with as many crashes is wrong, the next crash of the guilty part corrects
+  it.
+
+Parts with the same crashes and position and without an answer can't be told apart; all
+of them are refused.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+#: Number of crashed incarnations at which a part is refused.
+N_PART_CRASHES_MAX = 3
+PART_RETENTION_S = 600.0
+
+#: An answer shortly before the first crash delays the refusal of a part. By the end of
+#: the delay, an engine has begun an answer and the clearance has reached all nodes.
+RECENT_ANSWER_S = 30.0
+SETTLE_S = 2.0
+
+N_CRASHES_KEPT = 256
+N_PARTS_KEPT = 4096
+
+Incarnation = tuple[str, int, str]
+
+
+@dataclass
+class _Crash:
+    """One crash.
+
+    :param counted: parts that the crash counts against, with their positions.
+    :param cleared: parts that it doesn't count against, whatever reports follow.
+    """
+
+    at: float
+    counted: dict[str, int] = field(default_factory=dict)
+    cleared: set[str] = field(default_factory=set)
+
+
+@dataclass
+class CrashEvidence:
+    """The crashes and answers of prompt parts as far as this node knows them."""
+
+    clock: Callable[[], float]
+    _crashes: OrderedDict[Incarnation, _Crash] = field(default_factory=OrderedDict)
+    _crashes_by_part: OrderedDict[str, dict[Incarnation, float]] = field(
+        default_factory=OrderedDict
+    )
+    _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def add_crash(
+        self,
+        incarnation: Incarnation,
+        parts: Mapping[str, int],
+        answered: Iterable[str] = (),
+        recently_answered: Iterable[str] = (),
+    ) -> None:
+        """Add one node's report of a crash; each crash counts once.
+
+        :param parts: shared parts of the requests whose answer wasn't under way, with
+            their positions in the prompt.
+        :param answered: shared parts of the requests whose answer was under way.
+        :param recently_answered: those of ``parts`` that were answered not long ago.
+        """
+        now = self.clock()
+        crash = self._crashes.setdefault(incarnation, _Crash(now))
+        for part in answered:
+            self.add_answer(part)
+            crash.cleared.add(part)
+        for part in recently_answered:
+            self._note_answered(part, now)
+        for part, position in parts.items():
+            if part not in crash.cleared:
+                crash.counted.setdefault(part, position)
+                known = self._crashes_by_part.setdefault(part, {})
+                known.setdefault(incarnation, crash.at)
+        self._remove_oldest()
+
+    def add_answer(self, part: str) -> bool:
+        """Record that an engine has written an answer on a part.
+
+        :returns: whether this cleared crashes of the part.
+        """
+        self._note_answered(part, self.clock())
+        return self.clear(part)
+
+    def clear(self, part: str) -> bool:
+        """Stop counting the crashes of a part until now.
+
+        :returns: whether there were any.
+        """
+        known = self._crashes_by_part.pop(part, {})
+        for incarnation in known:
+            crash = self._crashes[incarnation]
+            crash.counted.pop(part, None)
+            crash.cleared.add(part)
+        return bool(known)
+
+    def forget_crash(self, incarnation: Incarnation) -> None:
+        """Remove a crash whose report was deleted."""
+        crash = self._crashes.pop(incarnation, None)
+        for part in crash.counted if crash else ():
+            known = self._crashes_by_part[part]
+            del known[incarnation]
+            if not known:
+                del self._crashes_by_part[part]
+
+    def count_crashes(self, part: str) -> int:
+        """Return the number of crashes of a part since it was last cleared."""
+        return len(self._list_crashes(part))
+
+    def is_refused(self, part: str) -> bool:
+        """Return whether requests with this part have to be refused."""
+        known = self._list_crashes(part)
+        if len(known) < N_PART_CRASHES_MAX or self._is_unsettled(part):
+            return False
+        n_unexplained = sum(
+            not self._is_explained(part, incarnation, len(known))
+            for incarnation in known
+        )
+        return n_unexplained >= N_PART_CRASHES_MAX
+
+    def was_answered_recently(self, part: str) -> bool:
+        """Return whether an answer on a part was reported not long ago."""
+        answered_at = self._answered_at.get(part, float("-inf"))
+        return answered_at > self.clock() - RECENT_ANSWER_S
+
+    def _list_crashes(self, part: str) -> dict[Incarnation, float]:
+        counted_from = self.clock() - PART_RETENTION_S
+        known = self._crashes_by_part.get(part, {})
+        return {key: at for key, at in known.items() if at > counted_from}
+
+    def _is_unsettled(self, part: str) -> bool:
+        """Return whether an answer that clears the part may not have arrived yet."""
+        times = sorted(self._list_crashes(part).values())
+        answered_at = self._answered_at.get(part, float("-inf"))
+        if not times or answered_at < times[0] - RECENT_ANSWER_S:
+            return False
+        limit_at = times[min(len(times), N_PART_CRASHES_MAX) - 1]
+        return self.clock() < limit_at + SETTLE_S
+
+    def _is_explained(
+        self, part: str, incarnation: Incarnation, n_crashes: int
+    ) -> bool:
+        counted = self._crashes[incarnation].counted
+        own_rank = (n_crashes, counted[part])
+        return any(
+            (self.count_crashes(other), position) > own_rank
+            and not self._is_unsettled(other)
+            for other, position in counted.items()
+        )
+
+    def _note_answered(self, part: str, now: float) -> None:
+        self._answered_at[part] = now
+        self._answered_at.move_to_end(part)
+        if len(self._answered_at) > N_PARTS_KEPT:
+            self._answered_at.popitem(last=False)
+
+    def _remove_oldest(self) -> None:
+        expired_at = self.clock() - PART_RETENTION_S
+        while self._crashes:
+            incarnation, crash = next(iter(self._crashes.items()))
+            if len(self._crashes) <= N_CRASHES_KEPT and crash.at > expired_at:
+                break
+            self.forget_crash(incarnation)
+        while len(self._crashes_by_part) > N_PARTS_KEPT:
+            part, known = self._crashes_by_part.popitem(last=False)
+            for incarnation in known:
+                self._crashes[incarnation].counted.pop(part, None)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -139,6 +139,7 @@
         for run_task in (
             store_cleaner.run,
             node.suspects.feed.run,
+            node.suspects.run_maintenance,
             node.cache_index.run,
             weight_rollout.run,
         ):
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -26,6 +26,10 @@
 
 _RETRY_BACKOFF_S = 0.005
 
+#: Number of engines that a prompt may be sent to if one of them has crashed before its
+#: answer was under way.
+_MAX_ENGINES_CRASHED = 2
+
 
 async def serve_request(
     node: Runtime, request: ClientRequest, response: ClientResponse
@@ -37,7 +41,7 @@
         been started, the caller has to close the client connection.
     """
     fingerprint = build_fingerprint(request)
-    node.suspects.check(fingerprint)
+    node.suspects.check(fingerprint, request.prompt)
     service = choose_service(node, request)
     request_state = RequestState(
         request, service, fingerprint, node.budgets.get(service.name)
@@ -69,6 +73,7 @@
             await _run_attempt(node, request_state, dispatch, placement, response)
             return
         except ApricotliftError as error:
+            await _wait_for_crash_check(request_state)
             delay_s = _decide_retry_delay(
                 node, request_state, dispatch.handle, error, response
             )
@@ -89,6 +94,22 @@
             await anyio.sleep(delay_s)
 
 
+async def _wait_for_crash_check(request_state: RequestState) -> None:
+    """Wait until it is known whether the last attempt's engine has crashed."""
+    check, request_state.crash_check = request_state.crash_check, None
+    if check is not None:
+        await check.done.wait()
+        request_state.n_crashes += check.is_crash
+
+
+def _may_crash_another(node: Runtime, request_state: RequestState) -> bool:
+    """Return whether crashes forbid to send a request to another server."""
+    if request_state.n_crashes and request_state.n_possibly_run >= _MAX_ENGINES_CRASHED:
+        return True
+    prompt = request_state.request.prompt
+    return node.suspects.is_refused(request_state.fingerprint, prompt)
+
+
 def _mark_as_possibly_run(error: ApricotliftError) -> ApricotliftError:
     return ApricotliftError(error.code, error.message, Ran.MAYBE, error.scope)
 
@@ -115,6 +136,9 @@
         request_state.tried_server_ids.add(handle.server.server_id)
     if response.is_started and not route.is_resumable:
         decision_code, is_retried, delay_s = Code.MAY_HAVE_RUN, False, 0.0
+    elif _may_crash_another(node, request_state):
+        decision_code = Code.REQUEST_CRASHES_UPSTREAM
+        is_retried, delay_s = False, 0.0
     elif error.code is Code.UPSTREAM_CONNECT and request_state.n_refused < n_max:
         # The request reached no server, so the retry isn't charged to the budget that
         # all nodes share.
@@ -182,6 +206,8 @@
             await forward_buffered_response(
                 request_state, upstream_response, response, due_at
             )
+        if upstream_response.status < 300:
+            tracker.note_complete(is_stream)
     request_state.outcome = request_state.outcome or str(upstream_response.status)
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -132,7 +132,7 @@
             )
             if not data:
                 continue
-            tracker.note_first_event()
+            tracker.note_event()
             due_at = _get_event_due_at(request_state, tracker)
             if not response.is_started:
                 await response.start(
--- /dev/null
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/suspects.feature
@@ -0,0 +1,183 @@
+Feature: Prompt parts that crash engines
+
+  Several nodes share the table of crash reports. Prompts are written as their parts; the
+  last one belongs to the request alone.
+
+  Background:
+    Given the nodes "n1, n2, n3"
+
+  # Guards against prompts that crash engine after engine because no two of them are
+  # alike, and against a refusal of the parts that sound prompts share with them.
+  Scenario: A part is refused at the third crash, and the parts before it are not
+    When the prompt "first,deadly,own-1" crashes the engine "e1" at "n1"
+    And the prompt "first,deadly,own-2" crashes the engine "e2" at "n2"
+    Then no node refuses the prompt "first,deadly,own-3"
+    When the prompt "first,deadly,own-3" crashes the engine "e3" at "n1"
+    Then all nodes refuse the prompt "first,deadly,own-4"
+    And no node refuses the prompt "first,sound,own-5"
+    And no node refuses the prompt "first,own-6"
+    And no node refuses the prompt "deadly"
+
+  # Guards against a count that one prompt fills by crashing a single engine.
+  Scenario: One crash that several nodes report counts once
+    When the prompt "first,deadly,own-1" crashes the engine "e1" at "n1"
+    And the prompt "first,deadly,own-2" crashes the engine "e1" at "n2"
+    And the prompt "first,deadly,own-3" crashes the engine "e1" at "n3"
+    Then no node refuses the prompt "first,deadly,own-4"
+
+  # Guards against a guilty first part that is taken for a sound one, because all of its
+  # first prompts shared another part too.
+  Scenario: A first part that crashes engines is refused after one more crash
+    When the prompt "deadly,second,own-1" crashes the engine "e1" at "n1"
+    And the prompt "deadly,second,own-2" crashes the engine "e2" at "n1"
+    And the prompt "deadly,second,own-3" crashes the engine "e3" at "n1"
+    And the prompt "deadly,other,own-4" crashes the engine "e4" at "n1"
+    Then all nodes refuse the prompt "deadly,other,own-5"
+    And no node refuses the prompt "sound,second,own-6"
+
+  # Guards against the refusal of a part that is in all prompts, when several engines end
+  # at once for another reason and no node has completed an answer since.
+  Scenario: A popular part isn't refused when engines crash within a second
+    Given the prompt "popular,own-0" is answered at "n2"
+    When the prompt "popular,own-1" crashes the engine "e1" at "n1"
+    And the prompt "popular,own-2" crashes the engine "e2" at "n2"
+    And the prompt "popular,own-3" crashes the engine "e3" at "n3"
+    Then no node refuses the prompt "popular,own-4"
+    When the prompt "popular,own-5" is answered at "n3"
+    And 3 seconds pass
+    Then no node refuses the prompt "popular,own-6"
+
+  # Guards against a popular part that hides the part which crashes engines.
+  Scenario: A part is refused although a popular part is in all its crashes
+    Given the prompt "popular,own-0" is answered at "n2"
+    When the prompt "popular,deadly,own-1" crashes the engine "e1" at "n1"
+    And the prompt "popular,deadly,own-2" crashes the engine "e2" at "n2"
+    And the prompt "popular,deadly,own-3" crashes the engine "e3" at "n3"
+    Then all nodes refuse the prompt "popular,deadly,own-4"
+    And no node refuses the prompt "popular,own-5"
+
+  # Guards against a part that was sound once and is never refused.
+  Scenario: A part that was answered before its crashes is refused a little later
+    Given the prompt "deadly,own-0" is answered at "n1"
+    When the prompt "deadly,own-1" crashes the engine "e1" at "n1"
+    And the prompt "deadly,own-2" crashes the engine "e2" at "n1"
+    And the prompt "deadly,own-3" crashes the engine "e3" at "n1"
+    Then no node refuses the prompt "deadly,own-4"
+    When 3 seconds pass
+    Then all nodes refuse the prompt "deadly,own-4"
+
+  # Guards against a sound part that is refused because its prompts were sent to engines
+  # that another part crashed one after the other.
+  Scenario: Crashes that a part with more crashes explains aren't counted
+    When the prompt "deadly,own-1" crashes the engine "e1" at "n1"
+    And the prompts "deadly,own-2; seldom,own-3" crash the engine "e2" at "n1"
+    And the prompts "deadly,own-4; seldom,own-3" crash the engine "e3" at "n1"
+    And the prompts "deadly,own-5; seldom,own-6" crash the engine "e4" at "n1"
+    Then all nodes refuse the prompt "deadly,own-7"
+    And no node refuses the prompt "seldom,own-8"
+
+  # Guards against the refusal of prompts that happened to run at engines that crashed.
+  Scenario: Prompts whose answers are under way aren't counted
+    When an engine crashes 3 times while the prompt "first,bystander,own" is answered
+    Then no node refuses the prompt "first,bystander,own-2"
+    And no node refuses the prompt "first,bystander,own"
+
+  # Guards against a node that refuses a sound part because it saw no answer itself.
+  Scenario: An answer at one node clears the part at all nodes
+    When the prompt "sound,own-1" crashes the engine "e1" at "n1"
+    And the prompt "sound,own-2" crashes the engine "e2" at "n1"
+    And the prompt "sound,own-3" is answered at "n2"
+    And the prompt "sound,own-4" crashes the engine "e3" at "n1"
+    And the prompt "sound,own-5" crashes the engine "e4" at "n1"
+    And 3 seconds pass
+    Then no node refuses the prompt "sound,own-6"
+    When the prompt "sound,own-7" crashes the engine "e5" at "n1"
+    And 3 seconds pass
+    Then all nodes refuse the prompt "sound,own-8"
+
+  # Guards against a write for each answer while a part has crashes.
+  Scenario: A part is cleared by one row until it has new crashes
+    When the prompt "sound,own-1" crashes the engine "e1" at "n1"
+    And the prompt "sound,own-2" is answered at "n1"
+    And the prompt "sound,own-3" is answered at "n1"
+    And the prompt "sound,own-4" is answered at "n2"
+    Then the table has 2 rows
+
+  # Guards against parts that are refused for ever.
+  Scenario: Crashes expire
+    Given the prompt "deadly,own" is refused after 3 crashes
+    When 590 seconds pass
+    Then all nodes refuse the prompt "deadly,own"
+    When 20 seconds pass
+    Then no node refuses the prompt "deadly,own"
+
+  # Guards against a new node that lets the part crash three more engines, and against
+  # one that reads clearances and crashes out of order.
+  Scenario: A starting node reads the rows that exist
+    When the prompt "sound,own-1" crashes the engine "e1" at "n1"
+    And the prompt "sound,own-2" is answered at "n1"
+    And the prompt "sound,own-3" crashes the engine "e2" at "n1"
+    And the prompt "sound,own-4" crashes the engine "e3" at "n1"
+    And the prompt "deadly,own" is refused after 3 crashes
+    And the node "n4" starts
+    And 3 seconds pass
+    Then all nodes refuse the prompt "deadly,own"
+    And no node refuses the prompt "sound,own-5"
+
+  # Guards against a table that is written for each broken request, and against rows that
+  # the store rejects for their size.
+  Scenario: One node writes one bounded row for each crash
+    When 64 prompts of 40 long parts crash the engine "e1" at "n1"
+    Then the table has 1 row of at most 60000 bytes
+
+  # Guards against one check and one row for each request that an engine broke off.
+  Scenario: The requests that an engine breaks off are checked and reported together
+    When an engine breaks off 64 prompts at "n1" and refuses connections
+    Then the table has 1 row
+    And the report names 64 requests and 65 parts
+
+  # Guards against memory that grows with each crash.
+  Scenario: What a node keeps is bounded
+    When 400 engines crash with 30 new prompts each
+    Then the node "n1" keeps a bounded number of crashes, parts and requests
+
+  # Guards against rows that stay for ever because their writer has died, and count anew
+  # at each node that starts.
+  Scenario: Rows are deleted by their writer, or by others when it has died
+    When the prompt "deadly,own-1" crashes the engine "e1" at "n1"
+    And 610 seconds pass and the nodes "n2" delete old rows
+    Then the table has 1 row
+    When 1000 seconds pass and the nodes "n2" delete old rows
+    Then the table has 0 rows
+    When the prompt "deadly,own-2" crashes the engine "e2" at "n1"
+    And 610 seconds pass and the nodes "n1" delete old rows
+    Then the table has 0 rows
+
+  # Guards against nodes that end or stop detecting because the store fails.
+  Scenario Outline: Failed writes are logged and the node goes on
+    When the store fails with "<failure>"
+    And the prompt "deadly,own" is refused by "n1" after 3 crashes
+    And the prompt "deadly,own" is answered at "n1"
+    Then the failures "crash" and "clear" are counted at "n1"
+    When the store works again
+    And the nodes write what is left to write
+    Then the parts "deadly" are cleared in the table
+
+    Examples:
+      | failure |
+      | no      |
+      | maybe   |
+
+  # Guards against a node that ends because of a row of another form.
+  Scenario: A row of another form is ignored
+    When the table has a row of another form
+    And the prompt "deadly,own" is refused after 3 crashes
+    Then all nodes refuse the prompt "deadly,own"
+
+  # Guards against a request without a prompt that crashes servers without end.
+  Scenario: A request that crashed three servers is refused at all nodes
+    When the prompt "own" crashes the engine "e1" at "n1"
+    And the prompt "own" crashes the engine "e2" at "n2"
+    And the prompt "own" crashes the engine "e3" at "n1"
+    Then all nodes refuse the prompt "own"
+    And no node refuses the prompt "own-2"
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -1,15 +1,17 @@
 """Stand-in for the users' servers: a header of each request sets how it is answered.
 
-Run as ``python -m standins.opaque N``; it serves N addresses. The header ``x-script``
-lists behaviours separated by commas: the n-th one applies when the request id arrives
-for the n-th time at any of the addresses, and the last one from then on. ``GET /_seen``
-returns the received requests and weight orders, and ``POST /_dead`` sets which servers
-close each connection. The servers also load weights as engines do, and answer
-``/kv-events`` without any events.
+Run as ``python -m standins.opaque N [PART]``; it serves N addresses. The process ends
+when it begins to answer a prompt that has this part before its last one. The header
+``x-script`` lists behaviours separated by commas: the n-th one applies when the request
+id arrives for the n-th time at any of the addresses, and the last one from then on.
+``GET /_seen`` returns the received requests and weight orders, and ``POST /_dead`` sets
+which servers close each connection. The servers also load weights as engines do, and
+answer ``/kv-events`` without any events.
 """
 
 import contextlib
 import json
+import os
 import sys
 import time
 from dataclasses import dataclass, field
@@ -37,6 +39,7 @@
     :param orders: received orders to load weights.
     :param dead_servers: servers that close each connection without an answer.
     :param n_connections: connections accepted so far.
+    :param deadly_part: id of the prompt part that ends the process; empty for none.
     :param endless: what was sent in responses without end.
     """
 
@@ -46,6 +49,7 @@
     orders: list[dict] = field(default_factory=list)
     dead_servers: set[str] = field(default_factory=set)
     n_connections: int = 0
+    deadly_part: str = ""
     endless: EndlessState = field(default_factory=EndlessState)
 
 
@@ -203,7 +207,14 @@
         await _send_response(connection, stream, 200, own_headers, body)
     elif behaviour in ("stream", "torn", "halved"):
         await _send_event_stream(
-            connection, stream, request, own_headers, name, behaviour, int(argument)
+            state,
+            connection,
+            stream,
+            request,
+            own_headers,
+            name,
+            behaviour,
+            int(argument),
         )
     else:
         raise ValueError(f"unknown behaviour {behaviour!r} in x-script")
@@ -220,7 +231,7 @@
 
 
 async def _send_event_stream(
-    connection, stream, request, own_headers, name, behaviour, last_event_number
+    state, connection, stream, request, own_headers, name, behaviour, last_event_number
 ) -> None:
     """Send the events from the one to resume at up to a number.
 
@@ -231,6 +242,8 @@
     headers = [*own_headers.items(), ("content-type", "text/event-stream")]
     head = h11.Response(status_code=200, headers=headers)
     await stream.send(connection.send(head))
+    if state.deadly_part and state.deadly_part in _list_shared_parts(request):
+        os._exit(1)
     for number in range(first_event_number, last_event_number + 1):
         data = f"id: {number}\ndata: piece {number} of {name}\n\n".encode()
         await stream.send(connection.send(h11.Data(data=data)))
@@ -242,6 +255,11 @@
     await stream.send(connection.send(h11.EndOfMessage()))
 
 
+def _list_shared_parts(request: _Request) -> list[str]:
+    parts = request.headers.get("x-prompt-prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 async def _send_response(
     connection, stream, status: int, headers: dict, body: bytes, extra: bytes = b""
 ) -> None:
@@ -252,9 +270,9 @@
     await stream.send(data + extra)
 
 
-async def run(n_servers: int) -> None:
+async def run(n_servers: int, deadly_part: str = "") -> None:
     """Serve this number of addresses as the servers ``i-1``, ``i-2`` and so on."""
-    state = FarmState()
+    state = FarmState(deadly_part=deadly_part)
     async with anyio.create_task_group() as tasks:
         for number in range(1, n_servers + 1):
             name = f"i-{number}"
@@ -271,7 +289,7 @@
 def main() -> None:
     """Run the stand-in until it is stopped."""
     logs.configure("opaque")
-    anyio.run(run, int(sys.argv[1]))
+    anyio.run(run, int(sys.argv[1]), *sys.argv[2:3])
 
 
 if __name__ == "__main__":
