Don't refuse popular prompt parts after an outage of all engines

When all engines end at once, no answer can clear a popular part in time, so it reached the limit and stayed refused for 10 minutes; and no new request could answer on it. Crashes within a second of each other now count as one for a part that was answered shortly before them.

Two scenarios with parts that were answered before now let a second pass between crashes, because crashes at the same moment no longer count apart for such parts; what they check is unchanged.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
@@ -7,9 +7,10 @@
 - A part on which an engine has written an answer is sound. Such an answer clears it:
   its crashes until then don't count any more, at any node.
 - Crashes may follow each other faster than an answer on a sound part can be noticed and
-  reported. A part that was answered shortly before its crashes is therefore refused
-  only once there has been time for another answer. A report names such parts, because
-  the node that decides may have seen none of their answers.
+  reported, and all engines may end at once. For a part that was answered shortly before
+  its crashes, those that follow each other at once count as one, and it is refused only
+  once there has been time for another answer. A report names such parts, because the
+  node that decides may have seen none of their answers.
 - A crash that another part explains doesn't count: one with more crashes, or with as
   many and further back in the prompt, where parts are shared by fewer requests. This
   covers sound parts that are requested seldom, and so are cleared late. If the choice
@@ -32,6 +33,8 @@
 #: the delay, an engine has begun an answer and the clearance has reached all nodes.
 RECENT_ANSWER_S = 30.0
 SETTLE_S = 2.0
+#: Crashes of such a part within this time count as one.
+SAME_OUTAGE_S = 1.0
 
 N_CRASHES_KEPT = 256
 N_PARTS_KEPT = 4096
@@ -146,13 +149,18 @@
         return {key: at for key, at in known.items() if at > counted_from}
 
     def _is_unsettled(self, part: str) -> bool:
-        """Return whether an answer that clears the part may not have arrived yet."""
+        """Return whether a part that was answered lately may still be cleared."""
         times = sorted(self._list_crashes(part).values())
         answered_at = self._answered_at.get(part, float("-inf"))
         if not times or answered_at < times[0] - RECENT_ANSWER_S:
             return False
-        limit_at = times[min(len(times), N_PART_CRASHES_MAX) - 1]
-        return self.clock() < limit_at + SETTLE_S
+        separate = times[:1]
+        for at in times:
+            if at >= separate[-1] + SAME_OUTAGE_S:
+                separate.append(at)
+        if len(separate) < N_PART_CRASHES_MAX:
+            return True
+        return self.clock() < separate[N_PART_CRASHES_MAX - 1] + SETTLE_S
 
     def _is_explained(
         self, part: str, incarnation: Incarnation, n_crashes: int
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/suspects.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/suspects.feature
@@ -47,6 +47,17 @@
     And 3 seconds pass
     Then no node refuses the prompt "popular,own-6"
 
+  # Guards against a popular part that is refused for minutes after all engines ended at
+  # once, because none of them could answer on it before it was refused.
+  Scenario: A popular part isn't refused after an outage of all engines
+    Given the prompt "popular,own-0" is answered at "n2"
+    When the prompt "popular,own-1" crashes the engine "e1" at "n1"
+    And the prompt "popular,own-2" crashes the engine "e2" at "n2"
+    And the prompt "popular,own-3" crashes the engine "e3" at "n3"
+    And the prompt "popular,own-4" crashes the engine "e4" at "n3"
+    And 20 seconds pass
+    Then no node refuses the prompt "popular,own-5"
+
   # Guards against a popular part that hides the part which crashes engines.
   Scenario: A part is refused although a popular part is in all its crashes
     Given the prompt "popular,own-0" is answered at "n2"
@@ -60,7 +71,9 @@
   Scenario: A part that was answered before its crashes is refused a little later
     Given the prompt "deadly,own-0" is answered at "n1"
     When the prompt "deadly,own-1" crashes the engine "e1" at "n1"
+    And 1 seconds pass
     And the prompt "deadly,own-2" crashes the engine "e2" at "n1"
+    And 1 seconds pass
     And the prompt "deadly,own-3" crashes the engine "e3" at "n1"
     Then no node refuses the prompt "deadly,own-4"
     When 3 seconds pass
@@ -88,6 +101,7 @@
     And the prompt "sound,own-2" crashes the engine "e2" at "n1"
     And the prompt "sound,own-3" is answered at "n2"
     And the prompt "sound,own-4" crashes the engine "e3" at "n1"
+    And 1 seconds pass
     And the prompt "sound,own-5" crashes the engine "e4" at "n1"
     And 3 seconds pass
     Then no node refuses the prompt "sound,own-6"
