--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -1,16 +1,19 @@
 """Stand-in for the users' servers: a header of each request sets how it is answered.
 
-Run as ``python -m standins.opaque N``; it serves N addresses. The header ``x-script``
-lists behaviours separated by commas: the n-th one applies when the request id arrives
-for the n-th time at any of the addresses, and the last one from then on. ``GET /_seen``
-returns the received requests and weight orders, and ``POST /_dead`` sets which servers
-close each connection. From the behaviour ``leaving:STATUS`` on, each response of that
-server says that it leaves; ``busy:SECONDS`` refuses a request and asks for a pause. The
-servers also load weights as engines do, and answer ``/kv-events`` without any events.
+Run as ``python -m standins.opaque N [PART]``; it serves N addresses. The process ends
+when it begins to answer a prompt that has this part before its last one. The header
+``x-script`` lists behaviours separated by commas: the n-th one applies when the request
+id arrives for the n-th time at any of the addresses, and the last one from then on.
+``GET /_seen`` returns the received requests and weight orders, and ``POST /_dead`` sets
+which servers close each connection. From the behaviour ``leaving:STATUS`` on, each
+response of that server says that it leaves; ``busy:SECONDS`` refuses a request and asks
+for a pause. The servers also load weights as engines do, and answer ``/kv-events``
+without any events.
 """
 
 import contextlib
 import json
+import os
 import sys
 import time
 from dataclasses import dataclass, field
@@ -40,6 +43,7 @@
     :param dead_servers: servers that close each connection without an answer.
     :param leaving_servers: servers that say in each response that they leave.
     :param n_connections: connections accepted so far.
+    :param deadly_part: id of the prompt part that ends the process; empty for none.
     :param endless: what was sent in responses without end.
     """
 
@@ -50,6 +54,7 @@
     dead_servers: set[str] = field(default_factory=set)
     leaving_servers: set[str] = field(default_factory=set)
     n_connections: int = 0
+    deadly_part: str = ""
     endless: EndlessState = field(default_factory=EndlessState)
 
 
@@ -227,7 +232,14 @@
         await _send_response(connection, stream, 200, own_headers, body)
     elif behaviour in ("stream", "torn", "halved"):
         await _send_event_stream(
-            connection, stream, request, own_headers, name, behaviour, int(argument)
+            state,
+            connection,
+            stream,
+            request,
+            own_headers,
+            name,
+            behaviour,
+            int(argument),
         )
     else:
         raise ValueError(f"unknown behaviour {behaviour!r} in x-script")
@@ -244,7 +256,7 @@
 
 
 async def _send_event_stream(
-    connection, stream, request, own_headers, name, behaviour, last_event_number
+    state, connection, stream, request, own_headers, name, behaviour, last_event_number
 ) -> None:
     """Send the events from the one to resume at up to a number.
 
@@ -255,6 +267,8 @@
     headers = [*own_headers.items(), ("content-type", "text/event-stream")]
     head = h11.Response(status_code=200, headers=headers)
     await stream.send(connection.send(head))
+    if state.deadly_part and state.deadly_part in _list_shared_parts(request):
+        os._exit(1)
     for number in range(first_event_number, last_event_number + 1):
         data = f"id: {number}\ndata: piece {number} of {name}\n\n".encode()
         await stream.send(connection.send(h11.Data(data=data)))
@@ -270,6 +284,11 @@
     return int(request.headers.get("last-event-id", "0")) + 1
 
 
+def _list_shared_parts(request: _Request) -> list[str]:
+    parts = request.headers.get("x-prompt-prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 async def _send_response(
     connection, stream, status: int, headers: dict, body: bytes, extra: bytes = b""
 ) -> None:
@@ -280,9 +299,9 @@
     await stream.send(data + extra)
 
 
-async def run(n_servers: int) -> None:
+async def run(n_servers: int, deadly_part: str = "") -> None:
     """Serve this number of addresses as the servers ``i-1``, ``i-2`` and so on."""
-    state = FarmState()
+    state = FarmState(deadly_part=deadly_part)
     async with anyio.create_task_group() as tasks:
         for number in range(1, n_servers + 1):
             name = f"i-{number}"
@@ -299,7 +318,7 @@
 def main() -> None:
     """Run the stand-in until it is stopped."""
     logs.configure("opaque")
-    anyio.run(run, int(sys.argv[1]))
+    anyio.run(run, int(sys.argv[1]), *sys.argv[2:3])
 
 
 if __name__ == "__main__":
