Take an answer that was read late for news of the time of its poll

A reviewer showed that a version can count as named up to 2.2 s too late: a node that is suspended between an answer with rows and its next poll took the time of reading for the time up to which nothing else was named, so that old weights were used 9 s after naming.

An answer with rows is now certain only up to when its poll was sent, an empty one up to the end of the wait that was really asked for, which readers shorten.

What remains: a follower trusts the age that its reader states, and a suspended reader may state it too low by its wait.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -37,12 +37,15 @@
 
     :param is_full_table: whether these are all rows of the table.
     :param age_s: time since the store returned them, in seconds.
+    :param wait_s: time for which the store holds the poll open without a change;
+        ``None`` where another node answered and ``age_s`` is never too low.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     is_full_table: bool = False
     age_s: float = 0.0
+    wait_s: float | None = None
 
 
 class RowSource(Protocol):
@@ -97,6 +100,7 @@
         self._metrics = metrics
         self._clock = clock
         self._confirmed_at = float("-inf")
+        self._certain_until = float("-inf")
         self._unchanged_until = float("-inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
@@ -108,10 +112,11 @@
 
     @property
     def unchanged_until(self) -> float:
-        """Time of the answer before the one whose rows are being applied.
+        """Time up to which the rows that are being applied were certainly not written.
 
-        A row that is new to this node was written after that time. Minus infinity for
-        the first answer, which doesn't tell when its rows were written.
+        Minus infinity for the first answer, which doesn't tell when its rows were
+        written. A node that was suspended reads an answer long after the store sent it,
+        so the time of reading is no such limit.
         """
         return self._unchanged_until
 
@@ -152,13 +157,14 @@
         """
         rows = await self._source.read_table(self.table)
         if rows.version >= self.version:
-            self._unchanged_until = self._confirmed_at
+            self._unchanged_until = self._certain_until
             self._pass_on(rows, True)
 
     async def _load(self) -> None:
         asked_at = self._clock()
         rows = await self._source.read_table(self.table)
-        self._note_success(self._clock() - asked_at)
+        self._note_success()
+        self._note_certain(asked_at)
         self.version = rows.version
         self._pass_on(rows, True)
         self.is_loaded = True
@@ -169,9 +175,13 @@
         rows = await self._source.wait_for_changes(
             self.table, self.version, self._poll_s
         )
-        # A node that was suspended reads an answer long after the store sent it.
-        overdue_s = self._clock() - asked_at - self._poll_s
-        self._note_success(max(rows.age_s, overdue_s))
+        self._note_success(rows.age_s)
+        if rows.wait_s is None:
+            self._note_certain(self._clock() - rows.age_s)
+        elif rows.rows or rows.is_full_table:
+            self._note_certain(asked_at)
+        else:
+            self._note_certain(min(self._clock(), asked_at + rows.wait_s))
         self.version = max(self.version, rows.version)
         if rows.rows or rows.is_full_table:
             self._pass_on(rows, rows.is_full_table)
@@ -183,7 +193,6 @@
 
     def _note_success(self, age_s: float = 0.0) -> None:
         now = self._clock()
-        self._unchanged_until = self._confirmed_at
         self._confirmed_at = max(self._confirmed_at, now - age_s)
         if self._failing_since is not None:
             seconds = round(now - self._failing_since, 3)
@@ -191,6 +200,10 @@
             self._recovered_at = now
             logs.log(logs.INFO, "store_regained", table=self.table, seconds=seconds)
 
+    def _note_certain(self, until: float) -> None:
+        self._unchanged_until = self._certain_until
+        self._certain_until = max(self._certain_until, until)
+
     def _note_error(self, error: ApricotliftError) -> None:
         self._metrics.count("feed_failures_total", table=self.table, reason=error.code)
         if self._failing_since is None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -15,7 +15,7 @@
 
 import math
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from apricotlift.core import clocks, logs
@@ -255,7 +255,7 @@
         if self._has_followers(table):
             wait_s = min(wait_s, _READER_POLL_SHARE * self._compute_pace_s(wait_s))
         call = self.store.wait_for_changes(table, after, wait_s)
-        return await self._call_store(table, call)
+        return replace(await self._call_store(table, call), wait_s=wait_s)
 
     async def _call_store(self, table: str, call: Awaitable[RowSet]) -> RowSet:
         try:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
@@ -1,5 +1,6 @@
 import math
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from types import SimpleNamespace
 
 import anyio
@@ -45,7 +46,7 @@
     )
     for name in names.split(", "):
         load_version(context, name, 1)
-    routing_state.operator_feed._note_success()
+    routing_state.operator_feed._note_certain(clock())
 
 
 def load_version(context, name, version):
@@ -55,14 +56,14 @@
 
 
 def name_version(context, version):
-    context.node.routing_state.operator_feed._note_success()
+    context.node.routing_state.operator_feed._note_certain(context.clock())
     pass_on_version(context, version, False)
 
 
 def pass_on_version(context, version, is_full_table):
     row = ("weights/m", {"model": "m", "version": version})
     feed = context.node.routing_state.operator_feed
-    feed._note_success()
+    feed._note_certain(context.clock())
     feed._pass_on(build_rows(row), is_full_table)
 
 
@@ -214,3 +215,26 @@
 @then("it may have run")
 def step_may_have_run(context):
     assert context.error.ran is Ran.MAYBE, context.error
+
+
+@when(
+    "the node reads an answer {seconds:g} seconds late, and version {version:d} was "
+    "named in between"
+)
+def step_read_late(context, seconds, version):
+    """The store answers the first poll at once; the node is suspended meanwhile."""
+    feed = context.node.routing_state.operator_feed
+    answers = [
+        (seconds, build_rows(("other/x", {}))),
+        (0.01, build_rows(("weights/m", {"model": "m", "version": version}))),
+    ]
+
+    class Source:
+        async def wait_for_changes(self, table, after, wait_s):
+            delay_s, rows = answers.pop(0)
+            context.clock.now += delay_s
+            return replace(rows, wait_s=wait_s)
+
+    feed._source = Source()
+    anyio.run(feed._poll)
+    anyio.run(feed._poll)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightlimits.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightlimits.feature
@@ -56,3 +56,10 @@
     Then prompts may run on none
     When "b" loads version 2
     Then prompts may run on "b"
+
+  # Guards against old weights that are used past their limit because the answer before,
+  # which the node read late, is taken for news of the time at which it was read.
+  Scenario: An answer that is read late doesn't move the limit
+    When the node reads an answer 2 seconds late, and version 2 was named in between
+    And 6.5 seconds pass
+    Then prompts may run on none
