Judge by its events whether an answer is under way

A node that was suspended after the only event of an answer took the time of the break for the time of an event, so that the crash counted as one under way and cleared the part that caused it, at all nodes. The time of the last event counts now.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
@@ -50,6 +50,7 @@
     started_at: float
     note: PlacementNote | None = None
     first_event_at: float | None = None
+    _last_event_at: float = 0.0
     _answer_noted_at: float = float("-inf")
 
     @property
@@ -63,7 +64,7 @@
         return (
             self.placement is not None
             and self.first_event_at is not None
-            and clocks.monotonic() - self.first_event_at > _ANSWERING_AFTER_S
+            and self._last_event_at - self.first_event_at > _ANSWERING_AFTER_S
         )
 
     def begin(self) -> None:
@@ -81,6 +82,7 @@
     def note_event(self) -> None:
         """Record the latency of the first event, and that the answer is under way."""
         now = clocks.monotonic()
+        self._last_event_at = now
         if self.first_event_at is None:
             self.first_event_at = now
             self.handle.note_latency(now - self.started_at)
