Don't blame a popular prompt part for crashes of the part behind it

A reviewer showed that one crash more, for another reason, gets a popular first part refused for 10 minutes in place of the part that crashes engines, and so do two crashing parts behind the same first part. The part with more crashes was blamed, whatever was known of its answers. A part that was answered before its crashes now comes after one that never was, if that one has reached the limit itself. A report keeps which parts those are, so that a node that starts later decides alike.

Evidence on a refused part was dropped first when many other engines crashed, because the oldest went first. Crashes without a part at the limit, and parts with the fewest crashes, go first now. Decisions are kept for 0.2 s, because each one compares many crashes.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
@@ -11,11 +11,11 @@
   its crashes, those that follow each other at once count as one, and it is refused only
   once there has been time for another answer. A report names such parts, because the
   node that decides may have seen none of their answers.
-- A crash that another part explains doesn't count: one with more crashes, or with as
-  many and further back in the prompt, where parts are shared by fewer requests. This
-  covers sound parts that are requested seldom, and so are cleared late. If the choice
-  among parts with as many crashes is wrong, the next crash of the guilty part corrects
-  it.
+- A crash doesn't count against a part if another part in it, which has reached the
+  limit as well, accounts for it: one that wasn't answered before while this one was; or
+  else one with more crashes; or with as many and further back in the prompt, where
+  parts are shared by fewer requests. This covers parts that are requested seldom, and
+  so are cleared late, and parts that were in one more crash for another reason.
 
 Parts with the same crashes and position and without an answer can't be told apart; all
 of them are refused.
@@ -38,6 +38,10 @@
 
 N_CRASHES_KEPT = 256
 N_PARTS_KEPT = 4096
+#: Share of the parts that is removed at once when too many are kept.
+_REMOVED_SHARE = 0.1
+#: Time for which a decision on a part holds if no crash or clearance changes it.
+_DECISION_HOLD_S = 0.2
 
 Incarnation = tuple[str, int, str]
 
@@ -46,13 +50,17 @@
 class _Crash:
     """One crash.
 
+    :param is_old: whether it happened before this node started.
     :param counted: parts that the crash counts against, with their positions.
     :param cleared: parts that it doesn't count against, whatever reports follow.
+    :param answered_before: those that were answered not long before it.
     """
 
     at: float
+    is_old: bool = False
     counted: dict[str, int] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
+    answered_before: set[str] = field(default_factory=set)
 
 
 @dataclass
@@ -65,6 +73,7 @@
         default_factory=OrderedDict
     )
     _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _decisions: dict[str, tuple[float, bool]] = field(default_factory=dict)
 
     def add_crash(
         self,
@@ -72,6 +81,7 @@
         parts: Mapping[str, int],
         answered: Iterable[str] = (),
         recently_answered: Iterable[str] = (),
+        is_old: bool = False,
     ) -> None:
         """Add one node's report of a crash; each crash counts once.
 
@@ -79,13 +89,17 @@
             their positions in the prompt.
         :param answered: shared parts of the requests whose answer was under way.
         :param recently_answered: those of ``parts`` that were answered not long ago.
+        :param is_old: whether it was reported before this node started, so that the
+            time of the crash isn't known.
         """
+        self._decisions.clear()
         now = self.clock()
-        crash = self._crashes.setdefault(incarnation, _Crash(now))
+        crash = self._crashes.setdefault(incarnation, _Crash(now, is_old))
         for part in answered:
             self.add_answer(part)
             crash.cleared.add(part)
-        for part in recently_answered:
+        crash.answered_before.update(recently_answered)
+        for part in () if is_old else recently_answered:
             self._note_answered(part, now)
         for part, position in parts.items():
             if part not in crash.cleared:
@@ -108,6 +122,8 @@
         :returns: whether there were any.
         """
         known = self._crashes_by_part.pop(part, {})
+        if known:
+            self._decisions.clear()
         for incarnation in known:
             crash = self._crashes[incarnation]
             crash.counted.pop(part, None)
@@ -116,6 +132,7 @@
 
     def forget_crash(self, incarnation: Incarnation) -> None:
         """Remove a crash whose report was deleted."""
+        self._decisions.clear()
         crash = self._crashes.pop(incarnation, None)
         for part in crash.counted if crash else ():
             known = self._crashes_by_part[part]
@@ -129,14 +146,51 @@
 
     def is_refused(self, part: str) -> bool:
         """Return whether requests with this part have to be refused."""
-        known = self._list_crashes(part)
-        if len(known) < N_PART_CRASHES_MAX or self._is_unsettled(part):
+        if part not in self._crashes_by_part:
             return False
-        n_unexplained = sum(
-            not self._is_explained(part, incarnation, len(known))
-            for incarnation in known
+        now = self.clock()
+        decided_at, is_refused = self._decisions.get(part, (float("-inf"), False))
+        if now >= decided_at + _DECISION_HOLD_S:
+            is_refused = self._decide(part)
+            self._decisions[part] = (now, is_refused)
+        return is_refused
+
+    def _decide(self, part: str) -> bool:
+        if not self._is_at_limit(part):
+            return False
+        n_crashes = sum(
+            not self._is_accounted_for(part, incarnation)
+            for incarnation in self._list_crashes(part)
+        )
+        return n_crashes >= N_PART_CRASHES_MAX
+
+    def _is_at_limit(self, part: str) -> bool:
+        n_crashes = len(self._list_crashes(part))
+        return n_crashes >= N_PART_CRASHES_MAX and not self._is_unsettled(part)
+
+    def _is_accounted_for(self, part: str, incarnation: Incarnation) -> bool:
+        counted = self._crashes[incarnation].counted
+        own_rank = self._rank(part, counted[part])
+        return any(
+            self._is_at_limit(other) and self._rank(other, position) > own_rank
+            for other, position in counted.items()
+        )
+
+    def _rank(self, part: str, position: int) -> tuple[bool, int, int]:
+        """Return how likely a part is the cause of a crash, compared with others."""
+        crashes = self._list_crashes(part)
+        was_answered = self._was_answered_before(part, crashes)
+        return (not was_answered, len(crashes), position)
+
+    def _was_answered_before(
+        self, part: str, crashes: Mapping[Incarnation, float]
+    ) -> bool:
+        answered_at = self._answered_at.get(part, float("-inf"))
+        first_at = min(crashes.values(), default=float("inf"))
+        return answered_at >= first_at - RECENT_ANSWER_S or any(
+            part in self._crashes[incarnation].answered_before
+            for incarnation in crashes
         )
-        return n_unexplained >= N_PART_CRASHES_MAX
 
     def was_answered_recently(self, part: str) -> bool:
         """Return whether an answer on a part was reported not long ago."""
@@ -150,7 +204,11 @@
 
     def _is_unsettled(self, part: str) -> bool:
         """Return whether a part that was answered lately may still be cleared."""
-        times = sorted(self._list_crashes(part).values())
+        crashes = self._list_crashes(part)
+        n_old = sum(self._crashes[incarnation].is_old for incarnation in crashes)
+        if n_old >= N_PART_CRASHES_MAX:
+            return False
+        times = sorted(crashes.values())
         answered_at = self._answered_at.get(part, float("-inf"))
         if not times or answered_at < times[0] - RECENT_ANSWER_S:
             return False
@@ -162,17 +220,6 @@
             return True
         return self.clock() < separate[N_PART_CRASHES_MAX - 1] + SETTLE_S
 
-    def _is_explained(
-        self, part: str, incarnation: Incarnation, n_crashes: int
-    ) -> bool:
-        counted = self._crashes[incarnation].counted
-        own_rank = (n_crashes, counted[part])
-        return any(
-            (self.count_crashes(other), position) > own_rank
-            and not self._is_unsettled(other)
-            for other, position in counted.items()
-        )
-
     def _note_answered(self, part: str, now: float) -> None:
         self._answered_at[part] = now
         self._answered_at.move_to_end(part)
@@ -183,10 +230,29 @@
         expired_at = self.clock() - PART_RETENTION_S
         while self._crashes:
             incarnation, crash = next(iter(self._crashes.items()))
-            if len(self._crashes) <= N_CRASHES_KEPT and crash.at > expired_at:
+            if crash.at > expired_at:
                 break
             self.forget_crash(incarnation)
-        while len(self._crashes_by_part) > N_PARTS_KEPT:
-            part, known = self._crashes_by_part.popitem(last=False)
-            for incarnation in known:
+        if len(self._crashes) > N_CRASHES_KEPT:
+            self.forget_crash(self._choose_crash_to_remove())
+        if len(self._crashes_by_part) > N_PARTS_KEPT:
+            self._remove_parts(int(N_PARTS_KEPT * _REMOVED_SHARE))
+
+    def _choose_crash_to_remove(self) -> Incarnation:
+        """Return the oldest crash without a part that has reached the limit."""
+        for incarnation, crash in self._crashes.items():
+            if not any(
+                len(self._crashes_by_part[part]) >= N_PART_CRASHES_MAX
+                for part in crash.counted
+            ):
+                return incarnation
+        return next(iter(self._crashes))
+
+    def _remove_parts(self, n_parts: int) -> None:
+        """Remove the parts with the fewest crashes, the oldest ones first."""
+        by_count = sorted(
+            self._crashes_by_part, key=lambda part: len(self._crashes_by_part[part])
+        )
+        for part in by_count[:n_parts]:
+            for incarnation in self._crashes_by_part.pop(part):
                 self._crashes[incarnation].counted.pop(part, None)
