Write crash reports again, and count those from before a start apart

A reviewer showed three ways in which nodes go on to crash engines:

- A report that the store didn't take was never written again.
It is repeated now, before any clearance.
- Clearances of all nodes went out within 0.4 s, at 360 nodes hundreds of rows for one crash (the reviewer's computation), which takes the store's rate from the reports.
The time grows with the number of nodes now.
- A starting node took the time of reading for the time of each crash, so that all of them looked like one outage, and never refused a part that had been answered before.
Crashes from before its start are counted apart now.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -109,7 +109,12 @@
             metrics,
             tasks,
             routing_state,
-            Suspects(store.open_table("apricotlift-suspects"), relay, metrics),
+            Suspects(
+                store.open_table("apricotlift-suspects"),
+                relay,
+                metrics,
+                count_nodes=lambda: len(membership.view.get_eligible()),
+            ),
             peer_network,
             budget,
         )
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
@@ -48,13 +48,12 @@
 _SWEEP_INTERVAL_S = 5.0
 _DELETE_RETRY_S = 30.0
 
-#: Changes end a poll at once, so only a dead connection goes undetected for this time.
-POLL_S = 8.0
-
 #: Clearances are collected for a random share of this time. Most of the nodes that
 #: answer on the same part then learn of another node's row before they write their own.
+#: With more nodes, the time is longer in proportion.
 _CLEARANCE_INTERVAL_S = 0.4
-_CLEARANCE_RETRY_S = 2.0
+_N_NODES_PER_INTERVAL = 12
+_WRITE_RETRY_S = 2.0
 
 _N_FINGERPRINTS_KEPT = 4096
 _N_ROWS_KEPT = 4096
@@ -89,6 +88,7 @@
     """The recent crashes known to this node.
 
     :param table: writes rows of :data:`TABLE`.
+    :param count_nodes: returns the number of live nodes.
     """
 
     table: object
@@ -96,6 +96,7 @@
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     random: Random = field(default_factory=Random)
+    count_nodes: Callable[[], int] = lambda: 1
     feed: Feed = field(init=False)
     evidence: CrashEvidence = field(init=False)
     checks: CrashChecks = field(init=False)
@@ -107,12 +108,11 @@
     )
     _rows: OrderedDict[str, _KnownRow] = field(default_factory=OrderedDict)
     _unwritten: dict[str, None] = field(default_factory=dict)
+    _unwritten_reports: dict[Incarnation, None] = field(default_factory=dict)
     _refused_parts: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     def __post_init__(self):
-        self.feed = Feed(
-            self.source, TABLE, self._apply, self.metrics, self.clock, POLL_S
-        )
+        self.feed = Feed(self.source, TABLE, self._apply, self.metrics, self.clock)
         self.evidence = CrashEvidence(self.clock)
         self.checks = CrashChecks(self.count_own_crash)
 
@@ -192,19 +192,42 @@
         """Write this node's report of a crash as one row."""
         key, report = self._reports[incarnation]
         self._add_own_row(key, incarnation)
-        await self._write([Put(build_row(key, report))], "crash")
+        self._unwritten_reports[incarnation] = None
+        if await self._write([Put(build_row(key, report))], "crash"):
+            self._unwritten_reports.pop(incarnation, None)
+
+    async def write_left_reports(self) -> bool:
+        """Write the reports that the store didn't take before.
+
+        :returns: whether nothing is left to be repeated.
+        """
+        for incarnation in list(self._unwritten_reports):
+            if incarnation not in self._reports:
+                del self._unwritten_reports[incarnation]
+                continue
+            await self.write_report(incarnation)
+            if incarnation in self._unwritten_reports:
+                return False
+        return True
 
     async def run_maintenance(self) -> None:
         """Write clearances and delete old rows until cancelled."""
         swept_at = self.clock()
         while True:
-            await anyio.sleep(_CLEARANCE_INTERVAL_S * self.random.random())
-            if not await self.write_clearances():
-                await anyio.sleep(_CLEARANCE_RETRY_S)
+            await anyio.sleep(self._get_interval_s() * self.random.random())
+            # Reports come first: without them, other nodes go on to crash engines.
+            has_written = await self.write_left_reports()
+            if not (has_written and await self.write_clearances()):
+                await anyio.sleep(_WRITE_RETRY_S)
             if self.clock() >= swept_at + _SWEEP_INTERVAL_S:
                 swept_at = self.clock()
                 await self.delete_old_rows()
 
+    def _get_interval_s(self) -> float:
+        return _CLEARANCE_INTERVAL_S * max(
+            1.0, self.count_nodes() / _N_NODES_PER_INTERVAL
+        )
+
     async def write_clearances(self) -> bool:
         """Write the parts that were cleared since the last call as one row.
 
@@ -295,7 +318,7 @@
             recently_answered=recent,
         )
 
-    def _count_crash(self, report: CrashReport) -> None:
+    def _count_crash(self, report: CrashReport, is_old: bool = False) -> None:
         now = self.clock()
         for fingerprint in report.fingerprints:
             known = self._crashes.setdefault(fingerprint, {})
@@ -308,6 +331,7 @@
             report.parts,
             report.answered,
             report.recently_answered,
+            is_old,
         )
 
     def _apply(self, rows: RowSet, is_full_table: bool) -> None:
@@ -316,14 +340,14 @@
             if row.value is None:
                 self._forget_row(row.key)
             else:
-                self._apply_row(row)
+                self._apply_row(row, is_old=not self.feed.is_loaded)
         if is_full_table:
             listed = {row.key for row in rows.rows}
             for key, row in list(self._rows.items()):
                 if key not in listed and row.version:
                     self._forget_row(key)
 
-    def _apply_row(self, row: StoredRow) -> None:
+    def _apply_row(self, row: StoredRow, is_old: bool) -> None:
         known = self._rows.get(row.key)
         if known is not None and (known.is_own or known.version == row.version):
             known.version = row.version
@@ -344,7 +368,7 @@
             return
         if isinstance(content, CrashReport):
             known.incarnation = content.incarnation
-            self._count_crash(content)
+            self._count_crash(content, is_old)
         else:
             for part in content.cleared:
                 self.evidence.add_answer(part)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/suspects_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/suspects_steps.py
@@ -3,11 +3,15 @@
 import random
 import socket
 from dataclasses import dataclass, field
+from types import SimpleNamespace
+from unittest.mock import patch
 
 import anyio
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.hashing import digest
 from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding import attempttracking
+from apricotlift.forwarding.attempttracking import AttemptTracker
 from apricotlift.forwarding.crashchecks import BrokenRequest, CrashCheck
 from apricotlift.forwarding.crashevidence import N_CRASHES_KEPT, N_PARTS_KEPT
 from apricotlift.forwarding.crashreports import list_part_keys, parse_row
@@ -70,11 +74,13 @@
     )
     n_changes = context.n_read[name] = len(context.suspects_table.changes)
     context.nodes[name]._apply(RowSet(rows, n_changes, True), True)
+    context.nodes[name].feed.is_loaded = True
 
 
 def spread(context):
     """Write what is to be written and let all nodes read it."""
     for node in context.nodes.values():
+        anyio.run(node.write_left_reports)
         anyio.run(node.write_clearances)
         for name, reader in context.nodes.items():
             rows = tuple(context.suspects_table.changes[context.n_read[name] :])
@@ -275,3 +281,28 @@
     contents = [parse_row(row.value) for row in context.suspects_table.stored.values()]
     cleared = [content.cleared for content in contents if hasattr(content, "cleared")]
     assert parts.split(",") in cleared, contents
+
+
+@when("an answer sends events {first:g} and {last:g} seconds after its start")
+def step_answer_events(context, first, last):
+    suspects = SimpleNamespace(note_answer=lambda prompt: None)
+    handle = SimpleNamespace(note_latency=lambda seconds: None)
+    started_at = context.clock()
+    context.tracker = AttemptTracker(
+        handle, None, suspects, "placement", None, started_at
+    )
+    with patch.object(attempttracking.clocks, "monotonic", context.clock):
+        for delay_s in (first, last):
+            context.clock.now = started_at + delay_s
+            context.tracker.note_event()
+
+
+@then("it is under way")
+def step_under_way(context):
+    assert context.tracker.is_answering
+
+
+@then("it isn't under way")
+def step_not_under_way(context):
+    with patch.object(attempttracking.clocks, "monotonic", context.clock):
+        assert not context.tracker.is_answering
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/suspects.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/suspects.feature
@@ -195,3 +195,83 @@
     And the prompt "own" crashes the engine "e3" at "n1"
     Then all nodes refuse the prompt "own"
     And no node refuses the prompt "own-2"
+
+  # Guards against crashes that the other nodes never learn of, because the one write of
+  # their report fell into an outage or was refused.
+  Scenario: Reports of crashes are written once the store works again
+    When the store fails with "no"
+    And the prompt "first,deadly,own-1" crashes the engine "e1" at "n1"
+    And the prompt "first,deadly,own-2" crashes the engine "e2" at "n2"
+    And the prompt "first,deadly,own-3" crashes the engine "e3" at "n3"
+    And the prompt "first,deadly,own-4" crashes the engine "e4" at "n1"
+    And the prompt "first,deadly,own-5" crashes the engine "e5" at "n2"
+    And the store works again
+    And 30 seconds pass
+    And the nodes write what is left to write
+    Then all nodes refuse the prompt "first,deadly,own-6"
+
+  # Guards against the refusal of a sound first part, because an engine that ended for
+  # another reason gave it one crash more than the part that crashes engines.
+  Scenario: One unrelated crash doesn't shift the blame to a sound first part
+    Given the prompt "popular,own-0" is answered at "n2"
+    When the prompt "popular,deadly,own-1" crashes the engine "e1" at "n1"
+    And 2 seconds pass
+    And the prompt "popular,own-2" crashes the engine "e2" at "n2"
+    And 2 seconds pass
+    And the prompt "popular,deadly,own-3" crashes the engine "e3" at "n3"
+    And 2 seconds pass
+    And the prompt "popular,deadly,own-4" crashes the engine "e4" at "n1"
+    And 3 seconds pass
+    Then all nodes refuse the prompt "popular,deadly,own-5"
+    And no node refuses the prompt "popular,own-6"
+
+  # Guards against two crashing parts that blame the sound part in front of both.
+  Scenario: Two crashing parts don't shift the blame to the part that they share
+    Given the prompt "popular,own-0" is answered at "n2"
+    When the prompt "popular,deadly-1,own-1" crashes the engine "e1" at "n1"
+    And the prompt "popular,deadly-2,own-2" crashes the engine "e2" at "n2"
+    And 2 seconds pass
+    And the prompt "popular,deadly-1,own-3" crashes the engine "e3" at "n3"
+    And the prompt "popular,deadly-2,own-4" crashes the engine "e4" at "n1"
+    And 2 seconds pass
+    And the prompt "popular,deadly-1,own-5" crashes the engine "e5" at "n3"
+    And the prompt "popular,deadly-2,own-6" crashes the engine "e6" at "n1"
+    And 3 seconds pass
+    Then no node refuses the prompt "popular,own-7"
+
+  # Guards against a refused part that is used again because an outage of many engines
+  # took its place in the bounded memory.
+  Scenario: A part stays refused while many other engines crash
+    Given the prompt "deadly,own" is refused after 3 crashes
+    When 400 engines crash with 1 new prompts each
+    Then all nodes refuse the prompt "deadly,own-9"
+
+  # Guards against the same with fewer crashes, each with many parts.
+  Scenario: A part stays refused while crashes with many parts are reported
+    Given the prompt "deadly,own" is refused after 3 crashes
+    When 20 engines crash with 250 new prompts each
+    Then all nodes refuse the prompt "deadly,own-9"
+
+  # Guards against a starting node that takes the time at which it reads old reports for
+  # the time of the crashes, and so counts them as one outage.
+  Scenario: A starting node refuses a part that was answered before its crashes
+    Given the prompt "deadly,own-0" is answered at "n1"
+    When the prompt "deadly,own-1" crashes the engine "e1" at "n1"
+    And 2 seconds pass
+    And the prompt "deadly,own-2" crashes the engine "e2" at "n1"
+    And 2 seconds pass
+    And the prompt "deadly,own-3" crashes the engine "e3" at "n1"
+    And 3 seconds pass
+    Then all nodes refuse the prompt "deadly,own-4"
+    When the node "n4" starts
+    And 60 seconds pass
+    Then all nodes refuse the prompt "deadly,own-4"
+
+  # Guards against a crash that is taken for one under way, because the node noticed the
+  # break long after the only event.
+  Scenario: An answer is under way only while its events arrive
+    When an answer sends events 0 and 0.6 seconds after its start
+    Then it is under way
+    When an answer sends events 0 and 0.1 seconds after its start
+    And 5 seconds pass
+    Then it isn't under way
