Name the crashing parts of the scenarios plainly, and bring comments in line

The scenarios and the stand-in called a part that crashes engines by a figurative name, the limit of crashes was called a maximum although a part is refused at it, and a comment on freeing parts said that prompts on replaced weights fetch nothing, which hasn't been so.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
@@ -1,12 +1,12 @@
 """Decides which prompt parts crash engines, from the crashes that all nodes report.
 
 A part that crashes engines is in a request that each of these crashes broke off before
-its answer was under way. So are other parts: the guilty request has several of them,
-and an engine runs other requests as well. Three observations tell them apart:
+its answer was under way. So are other parts: such a request has several of them, and
+an engine runs other requests as well. Three observations tell them apart:
 
-- A part on which an engine has written an answer is sound. Such an answer clears it:
-  its crashes until then don't count any more, at any node.
-- Crashes may follow each other faster than an answer on a sound part can be noticed and
+- A part on which an engine has written an answer doesn't crash engines. Such an answer
+  clears it: its crashes until then don't count any more, at any node.
+- Crashes may follow each other faster than an answer on another part can be noticed and
   reported, and all engines may end at once. For a part that was answered shortly before
   its crashes, those that follow each other at once count as one, and it is refused only
   once there has been time for another answer. A report names such parts, because the
@@ -26,7 +26,7 @@
 from dataclasses import dataclass, field
 
 #: Number of crashed incarnations at which a part is refused.
-N_PART_CRASHES_MAX = 3
+N_PART_CRASHES_LIMIT = 3
 PART_RETENTION_S = 600.0
 
 #: An answer shortly before the first crash delays the refusal of a part. By the end of
@@ -162,11 +162,11 @@
             not self._is_accounted_for(part, incarnation)
             for incarnation in self._list_crashes(part)
         )
-        return n_crashes >= N_PART_CRASHES_MAX
+        return n_crashes >= N_PART_CRASHES_LIMIT
 
     def _is_at_limit(self, part: str) -> bool:
         n_crashes = len(self._list_crashes(part))
-        return n_crashes >= N_PART_CRASHES_MAX and not self._is_unsettled(part)
+        return n_crashes >= N_PART_CRASHES_LIMIT and not self._is_unsettled(part)
 
     def _is_accounted_for(self, part: str, incarnation: Incarnation) -> bool:
         counted = self._crashes[incarnation].counted
@@ -206,7 +206,7 @@
         """Return whether a part that was answered lately may still be cleared."""
         crashes = self._list_crashes(part)
         n_old = sum(self._crashes[incarnation].is_old for incarnation in crashes)
-        if n_old >= N_PART_CRASHES_MAX:
+        if n_old >= N_PART_CRASHES_LIMIT:
             return False
         times = sorted(crashes.values())
         answered_at = self._answered_at.get(part, float("-inf"))
@@ -216,9 +216,9 @@
         for at in times:
             if at >= separate[-1] + SAME_OUTAGE_S:
                 separate.append(at)
-        if len(separate) < N_PART_CRASHES_MAX:
+        if len(separate) < N_PART_CRASHES_LIMIT:
             return True
-        return self.clock() < separate[N_PART_CRASHES_MAX - 1] + SETTLE_S
+        return self.clock() < separate[N_PART_CRASHES_LIMIT - 1] + SETTLE_S
 
     def _note_answered(self, part: str, now: float) -> None:
         self._answered_at[part] = now
@@ -242,7 +242,7 @@
         """Return the oldest crash without a part that has reached the limit."""
         for incarnation, crash in self._crashes.items():
             if not any(
-                len(self._crashes_by_part[part]) >= N_PART_CRASHES_MAX
+                len(self._crashes_by_part[part]) >= N_PART_CRASHES_LIMIT
                 for part in crash.counted
             ):
                 return incarnation
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requests.py
@@ -32,6 +32,7 @@
 
 #: After these errors the request has reached no server.
 _UNCHARGED_CODES = (Code.UPSTREAM_CONNECT, *NOT_SENT_CODES)
+
 #: Number of engines that a prompt may be sent to if one of them has crashed before its
 #: answer was under way.
 _MAX_ENGINES_CRASHED = 2
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -28,7 +28,6 @@
 _CONFIGURATION_AGE_SHARE = 0.75
 _CONFIGURATION_AGE_MIN_S = 2.5
 
-
 #: Old weights are not used any more this long before the configured limit, which a
 #: request takes to begin at an engine that isn't busy.
 _WEIGHT_LIMIT_MARGIN_S = 1.0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecleaner.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/storecleaner.py
@@ -22,8 +22,8 @@
 from apricotlift.upstreams.readbudget import ReadBudget
 
 #: After this time out of use, no request still fetches parts of a salt: a fetch that
-#: would wait over two seconds isn't started, and requests on replaced weights fetch
-#: nothing.
+#: would wait over two seconds isn't started, and no prompt begins on replaced weights
+#: after the limit for their use.
 UNUSED_GRACE_S = 8.0
 
 _INTERVAL_S = 1.0
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -43,7 +43,7 @@
     :param dead_servers: servers that close each connection without an answer.
     :param leaving_servers: servers that say in each response that they leave.
     :param n_connections: connections accepted so far.
-    :param deadly_part: id of the prompt part that ends the process; empty for none.
+    :param crashing_part: id of the prompt part that ends the process; empty for none.
     :param endless: what was sent in responses without end.
     """
 
@@ -54,7 +54,7 @@
     dead_servers: set[str] = field(default_factory=set)
     leaving_servers: set[str] = field(default_factory=set)
     n_connections: int = 0
-    deadly_part: str = ""
+    crashing_part: str = ""
     endless: EndlessState = field(default_factory=EndlessState)
 
 
@@ -267,7 +267,7 @@
     headers = [*own_headers.items(), ("content-type", "text/event-stream")]
     head = h11.Response(status_code=200, headers=headers)
     await stream.send(connection.send(head))
-    if state.deadly_part and state.deadly_part in _list_shared_parts(request):
+    if state.crashing_part and state.crashing_part in _list_shared_parts(request):
         os._exit(1)
     for number in range(first_event_number, last_event_number + 1):
         data = f"id: {number}\ndata: piece {number} of {name}\n\n".encode()
@@ -299,9 +299,9 @@
     await stream.send(data + extra)
 
 
-async def run(n_servers: int, deadly_part: str = "") -> None:
+async def run(n_servers: int, crashing_part: str = "") -> None:
     """Serve this number of addresses as the servers ``i-1``, ``i-2`` and so on."""
-    state = FarmState(deadly_part=deadly_part)
+    state = FarmState(crashing_part=crashing_part)
     async with anyio.create_task_group() as tasks:
         for number in range(1, n_servers + 1):
             name = f"i-{number}"
