Order the engines with the oldest weights first

Cause: outdated engines were ordered in the order of their ids, two at a time. With each further version the first ones became outdated again and were ordered again, so that the last ones waited for as long as versions came. They are sorted by their weights first now.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -109,7 +109,8 @@
     def list_outdated_engines(self) -> list[tuple[Server, str, int]]:
         """Return the engines that lack named weights, with the model and the version.
 
-        All nodes list them in the same sequence, in which they are ordered to load.
+        All nodes list them in the same sequence, in which they are ordered to load:
+        those with the oldest weights first, because their limit is reached first.
         """
         outdated = []
         for server in self.list_all_serving():
@@ -117,7 +118,10 @@
                 target = self.weight_targets.get_newest(model)
                 if target is not None and loaded < target.version:
                     outdated.append((server, model, target.version))
-        return sorted(outdated, key=lambda item: item[0].server_id)
+        return sorted(
+            outdated,
+            key=lambda item: (item[0].weights[item[1]], item[0].server_id),
+        )
 
     def apply_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration if it is newer than the one in force.
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/orders.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/orders.feature
@@ -39,3 +39,10 @@
     And "n2" is connected again and all other nodes end
     Then no order named an older version than one before
     And every engine has loaded version 3
+
+  # Guards against engines that are never ordered, because those ordered before them become
+  # outdated again with each further version.
+  Scenario: Engines with the oldest weights are ordered first
+    Given an engine loads in 2 seconds
+    When versions 2 to 9 are named 2.5 seconds apart and 1 seconds pass
+    Then no engine is on version 1
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -287,3 +287,19 @@
         fences.setdefault(node, set()).add(fence)
     first, second = fences.values()
     assert max(first) < min(second), fences
+
+
+@when(
+    "versions {first:d} to {last:d} are named {gap_s:g} seconds apart and {wait_s:g} "
+    "seconds pass"
+)
+def step_name_in_succession(context, first, last, gap_s, wait_s):
+    for version in range(first, last + 1):
+        name_version(context.world, version)
+        anyio.run(advance, context.world, gap_s)
+    anyio.run(advance, context.world, wait_s)
+
+
+@then("no engine is on version {version:d}")
+def step_none_on(context, version):
+    assert version not in context.world.loaded.values(), context.world.loaded
