--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
@@ -76,12 +76,15 @@
 
     :param holder: name of the node that holds the lease for orders.
     :param fence: fencing number of the lease; increases with each holder.
+    :param n_orders: the engine carries the order out only if it has accepted this many
+        orders until then; ``None`` to carry it out in any case.
     """
 
     model: str
     version: int
     holder: str
     fence: int
+    n_orders: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
@@ -156,6 +156,8 @@
     :param started_ms: time of its start in Unix milliseconds; another start may use the
         same id.
     :param weights: loaded weight version by model.
+    :param n_orders: number of orders that it has accepted since its start, ``None``
+        where it isn't known. It may be outdated while an order is carried out.
     """
 
     server_id: str
@@ -166,6 +168,7 @@
     n_slots: int = 1
     started_ms: int = 0
     weights: dict[str, int] = field(default_factory=dict)
+    n_orders: int | None = None
 
     @property
     def incarnation(self) -> tuple[str, int, str]:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -150,7 +150,10 @@
         "decode_server": decode_server,
         "decode_prompt": lambda headers: None,
         "build_order": lambda server, order: OutgoingCall(
-            "POST", "/order", (), encode([server.server_id, order.version, order.fence])
+            "POST",
+            "/order",
+            (),
+            encode([server.server_id, order.version, order.fence, order.n_orders]),
         ),
         "build_events_call": lambda since, wait_ms: OutgoingCall("GET", "/events"),
         "decode_events": lambda body: CacheEvents(1, 1, False, ()),
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -86,7 +86,7 @@
     async def request(self, call, timeout_s, max_bytes=0):
         world = self.world
         name = self.server.server_id
-        _, version, fence = json.loads(call.body)
+        _, version, fence, _ = json.loads(call.body)
         world.orders.append((world.clock(), self.node, name, version, fence))
         if world.is_first_order_lost and len(world.orders) == 1:
             raise ApricotliftError(Code.UPSTREAM_TIMEOUT, "lost", Ran.MAYBE)
