Keep late orders from taking engines back, and order engines that wait

Cause: an order did not say on which state of its engine it is based, so an order for an older version that is carried out late replaced newer weights. Orders without an answer were repeated each second at the engines that sort first, and each send waited for its answer before the next, so the two places for loads were never free for others.

Change: an order states the order count of the engine's entry; of all orders with one count the engine carries out the first that it comes to. When the entry shows other weights, the next order is sent at once. The choice of engines is in weightorders.py (plain functions). An engine counts as loading for 1 s after its first unanswered order and for 6 s after an accepted one, and only engines without an unsettled order wait for a place. Orders are repeated after 1, 2 and then each 4 s, and replaced at once by one for a newer version. Orders are sent concurrently; the lease outlasts their timeout.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -3,7 +3,8 @@
 Only one node at a time orders engines to load weights. It holds a lease in the store
 and sends an order only while the lease is valid. It releases the lease only when enough
 time has passed since its last order, so that orders of two holders are never too close
-together. Only a share of the engines loads at a time, so that the others keep serving.
+together. Only a share of the engines loads at a time, so that the others keep serving;
+:mod:`apricotlift.forwarding.weightorders` chooses them.
 """
 
 import random
@@ -19,6 +20,15 @@
 from apricotlift.forwarding.entities import Server
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.forwarding.servers import ServerHandles
+from apricotlift.forwarding.weightorders import (
+    DueOrder,
+    SentOrders,
+    choose_orders,
+    count_concurrent_max,
+    list_unsettled,
+    record_acceptance,
+    record_order,
+)
 from apricotlift.state.tableleases import LeaseSettings, TableLease
 from apricotlift.upstreams.persistentconnections import HttpCall
 
@@ -30,6 +40,7 @@
 _WATCH_MARGIN_S = 0.2
 _RENEW_BELOW_S = 0.4
 _ORDER_TIMEOUT_S = 0.5
+_ACCEPTED_STATUSES = (200, 202)
 
 #: Delay of the first order. In this time all nodes learn that newer weights are named,
 #: and the engines that are ordered first finish some of their requests.
@@ -40,28 +51,6 @@
 _RANK_DELAY_S = 0.12
 _ACQUIRE_PAUSE_S = 0.5
 
-#: An unanswered order is sent again after this time; it may still be carried out late.
-_UNANSWERED_RETRY_S = 1.0
-#: An accepted order is sent again if the server's entry doesn't show the new version
-#: after this time.
-_ACCEPTED_RETRY_S = 6.0
-
-#: Limit of the engines that load at the same time: a share of those that serve the
-#: models to be updated, and at least a fixed number.
-_CONCURRENT_SHARE_MAX = 0.34
-_N_CONCURRENT_MIN = 2
-
-
-@dataclass
-class _SentOrder:
-    sent_at: float
-    is_accepted: bool = False
-
-    @property
-    def retry_s(self) -> float:
-        """Seconds after which the order is sent again."""
-        return _ACCEPTED_RETRY_S if self.is_accepted else _UNANSWERED_RETRY_S
-
 
 @dataclass
 class WeightRollout:
@@ -84,7 +73,7 @@
     order_lease_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
-    _sent_orders: dict[tuple, _SentOrder] = field(default_factory=dict)
+    _sent_orders: SentOrders = field(default_factory=dict)
     _last_order_at: float = float("-inf")
     _next_acquire_at: float = 0.0
     _lease: TableLease = field(init=False)
@@ -129,29 +118,24 @@
             return
         if not await self._ensure_lease(outdated):
             return
+        orders = self._choose_orders(outdated)
+        # The lease stays valid while the answers to the orders are awaited.
+        if not orders or not await self._renew_lease(_ORDER_TIMEOUT_S):
+            return
+        async with anyio.create_task_group() as tasks:
+            for order in orders:
+                tasks.start_soon(self._send_order, order)
+
+    def _choose_orders(self, outdated) -> list[DueOrder]:
         now = self.clock()
-        n_pending = 0
-        due = []
-        for server, model, version in outdated:
-            sent_order = self._sent_orders.get((server.incarnation, model, version))
-            if sent_order is not None and now < sent_order.sent_at + sent_order.retry_s:
-                n_pending += 1
-            else:
-                due.append((server, model, version))
-        n_concurrent_max = self._count_concurrent_max(outdated)
-        for server, model, version in due[: max(0, n_concurrent_max - n_pending)]:
-            if not await self._renew_lease():
-                return
-            await self._send_order(server, model, version)
-
-    def _count_concurrent_max(self, outdated) -> int:
-        models = {model for _, model, _ in outdated}
-        n_engines = sum(
-            1
-            for server in self.routing_state.list_all_serving()
-            if models.intersection(server.weights)
+        self._sent_orders = list_unsettled(
+            self._sent_orders, [server for server, _, _ in outdated], now
+        )
+        n_concurrent_max = count_concurrent_max(
+            self.routing_state.list_all_serving(), {model for _, model, _ in outdated}
         )
-        return max(_N_CONCURRENT_MIN, int(n_engines * _CONCURRENT_SHARE_MAX))
+        due = [DueOrder(*item) for item in outdated]
+        return choose_orders(due, self._sent_orders, n_concurrent_max, now)
 
     async def _ensure_lease(self, outdated) -> bool:
         if self._lease.is_valid():
@@ -177,8 +161,8 @@
         await self.routing_state.servers_feed.refresh()
         return False
 
-    async def _renew_lease(self) -> bool:
-        if self._lease.is_valid(_RENEW_BELOW_S):
+    async def _renew_lease(self, margin_s: float = _RENEW_BELOW_S) -> bool:
+        if self._lease.is_valid(margin_s):
             return True
         return await self._lease.renew()
 
@@ -191,22 +175,29 @@
         elif not await self._renew_lease():
             logs.log(logs.WARNING, "order_lease_lost", fence=self._lease.fence)
 
-    async def _send_order(self, server: Server, model: str, version: int) -> None:
-        key = (server.incarnation, model, version)
-        order = WeightOrder(model, version, self.own_name, self._lease.fence)
-        call = self.dialect.build_order(server, order)
+    async def _send_order(self, order: DueOrder) -> None:
+        server = order.server
+        weight_order = WeightOrder(
+            order.model,
+            order.version,
+            self.own_name,
+            self._lease.fence,
+            server.n_orders,
+        )
+        call = self.dialect.build_order(server, weight_order)
         if not self._lease.is_valid():
             return
         self._last_order_at = self.clock()
         self.announce_load(server)
-        sent_order = self._sent_orders[key] = _SentOrder(self._last_order_at)
+        record_order(self._sent_orders, order, self._last_order_at)
         outcome: str
         try:
             response = await self.handles.get(server).connections.request(
                 HttpCall(call.method, call.target, call.headers, call.body),
                 _ORDER_TIMEOUT_S,
             )
-            sent_order.is_accepted = response.status in (200, 202)
+            if response.status in _ACCEPTED_STATUSES:
+                record_acceptance(self._sent_orders, order)
             outcome = str(response.status)
         except ApricotliftError as error:
             outcome = str(error.code)
@@ -215,9 +206,10 @@
             logs.INFO,
             "order_sent",
             server=server.server_id,
-            model=model,
-            version=version,
-            loaded=server.weights.get(model),
-            fence=order.fence,
+            model=order.model,
+            version=order.version,
+            loaded=server.weights.get(order.model),
+            n_orders=server.n_orders,
+            fence=weight_order.fence,
             outcome=outcome,
         )
