Ask engines without effect for their order count, and limit unsettled orders

Callers would see: an engine that refuses each order to load weights and stays on old ones, because its entry shows an outdated order count. An entry is written only when more than the count changes, so an accepted order that changes nothing else is enough.

Cause: the entry was the only source of the count that an order states. Change: an engine whose orders have had no effect for 5 s is asked for its report (0.2 s limit) before the order is repeated; on failure the entry's count is used, with the log line server_report_failed. The lease outlasts both calls. An order that states a count above that of the entry stays unsettled when the entry reaches that count.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/dialect.py
@@ -124,6 +124,8 @@
     :param decode_server: decodes a server's entry from its key and value.
     :param decode_prompt: returns the prompt that the headers of a request describe.
     :param build_order: builds the call that orders an engine to load weights.
+    :param build_report_call: builds a call that returns a server's report on itself.
+    :param decode_order_count: returns the number of accepted orders from a report.
     :param build_events_call: builds a poll for cache events, from the number of the
         first event and the time to wait in milliseconds.
     :param build_free_call: builds the call that frees parts in a store, from the
@@ -141,6 +143,8 @@
     decode_server: Callable[[str, bytes], Server | None]
     decode_prompt: Callable[[dict[str, str]], Prompt | None]
     build_order: Callable[[Server, WeightOrder], OutgoingCall]
+    build_report_call: Callable[[Server], OutgoingCall]
+    decode_order_count: Callable[[bytes], int]
     build_events_call: Callable[[int, int], OutgoingCall]
     decode_events: Callable[[bytes], CacheEvents]
     build_free_call: Callable[[int, list[tuple[str, str]]], OutgoingCall]
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -155,6 +155,8 @@
             (),
             encode([server.server_id, order.version, order.fence, order.n_orders]),
         ),
+        "build_report_call": lambda server: OutgoingCall("GET", "/report"),
+        "decode_order_count": lambda body: int(json.loads(body)),
         "build_events_call": lambda since, wait_ms: OutgoingCall("GET", "/events"),
         "decode_events": lambda body: CacheEvents(1, 1, False, ()),
         "build_free_call": lambda boot, parts: OutgoingCall("POST", "/free"),
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/lateorders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/lateorders_steps.py
@@ -21,6 +21,18 @@
         cluster.n_unreachable = n
 
 
+@given("{n:d} of the engines have accepted an order that their entries don't show")
+def step_unlisted(context, n):
+    for cluster in context.clusters:
+        for engine in list(cluster.engines.values())[:n]:
+            engine.n_unlisted = 1
+
+
+@then("at most {n:d} reports were read")
+def step_n_reports(context, n):
+    assert all(cluster.n_reports <= n for cluster in context.clusters)
+
+
 @when("version {version:d} is named")
 def step_name(context, version):
     for cluster in context.clusters:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightorders.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightorders.py
@@ -25,12 +25,36 @@
 _REPEAT_MIN_S = 1.0
 _REPEAT_MAX_S = 4.0
 
+#: Time without effect after which an engine is asked for its order count: its entry may
+#: show an outdated one, for which it refuses each order.
+_ENTRY_TRUSTED_S = 5.0
+
 #: Limit of the engines that count as loading: a share of those that serve the models
 #: to be updated, and at least a fixed number. Loads become slower when more than a
 #: third of the engines load at once.
 _CONCURRENT_SHARE_MAX = 0.34
 _N_CONCURRENT_MIN = 2
 
+#: Share of the engines that may have an unsettled order, in sixths. All of these may
+#: begin to load at once; the others keep serving.
+_N_UNSETTLED_SIXTHS = 5
+
+#: Time after its first order from which an unsettled engine no longer counts against
+#: that limit, so that engines that orders don't reach don't keep others waiting.
+_UNSETTLED_MAX_S = 15.0
+
+
+@dataclass(frozen=True)
+class LoadLimits:
+    """Limits of the engines of some models.
+
+    :param n_loading: engines that count as loading.
+    :param n_unsettled: engines that may load or may begin to.
+    """
+
+    n_loading: int
+    n_unsettled: int
+
 
 @dataclass(frozen=True)
 class DueOrder:
@@ -48,6 +72,7 @@
     :param order: the order, with the engine's entry on which it is based.
     :param sent_at: time of the last order.
     :param first_sent_at: time of the first one since an order was carried out.
+    :param stated_count: order count that was stated, ``None`` if none was.
     :param n_sent: how often the order has been sent.
     :param is_accepted: whether the engine accepted it, or its order count has changed.
     """
@@ -55,6 +80,7 @@
     order: DueOrder
     sent_at: float
     first_sent_at: float
+    stated_count: int | None
     n_sent: int = 1
     is_accepted: bool = False
 
@@ -65,6 +91,11 @@
             return self.sent_at + _ACCEPTED_LOAD_S
         return self.first_sent_at + _UNANSWERED_LOAD_S
 
+    @property
+    def unsettled_until(self) -> float:
+        """Time until which the engine counts as one that may begin to load."""
+        return max(self.loads_until, self.first_sent_at + _UNSETTLED_MAX_S)
+
     @property
     def repeat_at(self) -> float:
         """Time from which the order may be sent again."""
@@ -77,10 +108,12 @@
 SentOrders = dict[tuple[str, int, str], SentOrder]
 
 
-def count_concurrent_max(servers: Iterable[Server], models: set[str]) -> int:
-    """Return how many engines of some models may load at the same time."""
+def count_limits(servers: Iterable[Server], models: set[str]) -> LoadLimits:
+    """Return the limits of the engines that serve some models."""
     n_engines = sum(1 for server in servers if models.intersection(server.weights))
-    return max(_N_CONCURRENT_MIN, int(n_engines * _CONCURRENT_SHARE_MAX))
+    n_loading = max(_N_CONCURRENT_MIN, int(n_engines * _CONCURRENT_SHARE_MAX))
+    n_unsettled = n_engines * _N_UNSETTLED_SIXTHS // 6
+    return LoadLimits(n_loading, max(n_loading, n_unsettled))
 
 
 def list_unsettled(
@@ -93,30 +126,37 @@
     unsettled = {}
     for server in servers:
         sent = sent_orders.get(server.incarnation)
-        if sent is None or sent.order.server.weights != server.weights:
+        if sent is None:
             continue
-        if sent.order.server.n_orders != server.n_orders:
+        before = sent.order.server
+        order = replace(sent.order, server=server)
+        if before.n_orders != server.n_orders == sent.stated_count:
+            # The stated count was newer than the entry, which shows it now.
+            sent = replace(sent, order=order)
+        elif before.weights != server.weights:
+            continue
+        elif before.n_orders != server.n_orders:
             # The engine has accepted an order, but doesn't have the weights yet.
-            order = replace(sent.order, server=server)
-            sent = SentOrder(order, now, now, is_accepted=True)
+            sent = SentOrder(order, now, now, server.n_orders, is_accepted=True)
         unsettled[server.incarnation] = sent
     return unsettled
 
 
 def choose_orders(
-    outdated: list[DueOrder], sent_orders: SentOrders, n_concurrent_max: int, now: float
+    outdated: list[DueOrder], sent_orders: SentOrders, limits: LoadLimits, now: float
 ) -> list[DueOrder]:
     """Return the orders to send now, at most one for each engine.
 
-    Only engines without an unsettled order wait until fewer engines count as loading.
-    The others may begin to load at any time anyway, so their orders are repeated, and
-    replaced at once by one for a newer version, without regard to the limit.
+    Engines without an unsettled order wait until the limits have room for them. The
+    others may begin to load at any time anyway, so their orders are repeated, and
+    replaced at once by one for a newer version, without regard to the limits.
 
     :param outdated: the engines that lack named weights, the most urgent ones first.
     :param sent_orders: the unsettled orders.
-    :param n_concurrent_max: limit of the engines that count as loading.
     """
-    n_loading = sum(1 for sent in sent_orders.values() if now < sent.loads_until)
+    n_loading = sum(now < sent.loads_until for sent in sent_orders.values())
+    n_unsettled = sum(now < sent.unsettled_until for sent in sent_orders.values())
+    n_free = min(limits.n_loading - n_loading, limits.n_unsettled - n_unsettled)
     chosen = []
     waiting = []
     for orders in _group_by_engine(outdated):
@@ -130,18 +170,26 @@
                 waiting.append(order)
         elif now >= sent.repeat_at or _is_newer(order, sent):
             chosen.append(order)
-    return chosen + waiting[: max(0, n_concurrent_max - n_loading)]
+    return chosen + waiting[: max(0, n_free)]
+
+
+def is_count_doubtful(sent_orders: SentOrders, order: DueOrder, now: float) -> bool:
+    """Return whether the order count in an engine's entry may be outdated."""
+    sent = sent_orders.get(order.server.incarnation)
+    return sent is not None and now - sent.first_sent_at >= _ENTRY_TRUSTED_S
 
 
-def record_order(sent_orders: SentOrders, order: DueOrder, now: float) -> None:
-    """Record that an order is sent."""
+def record_order(
+    sent_orders: SentOrders, order: DueOrder, n_orders: int | None, now: float
+) -> None:
+    """Record that an order is sent that states an order count."""
     key = order.server.incarnation
     sent = sent_orders.get(key)
     if sent is None or sent.is_accepted:
-        sent_orders[key] = SentOrder(order, now, now)
+        sent_orders[key] = SentOrder(order, now, now, n_orders)
         return
     n_sent = 1 if _is_newer(order, sent) else sent.n_sent + 1
-    sent_orders[key] = SentOrder(order, now, sent.first_sent_at, n_sent)
+    sent_orders[key] = SentOrder(order, now, sent.first_sent_at, n_orders, n_sent)
 
 
 def record_acceptance(sent_orders: SentOrders, order: DueOrder) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -24,7 +24,8 @@
     DueOrder,
     SentOrders,
     choose_orders,
-    count_concurrent_max,
+    count_limits,
+    is_count_doubtful,
     list_unsettled,
     record_acceptance,
     record_order,
@@ -40,7 +41,9 @@
 _WATCH_MARGIN_S = 0.2
 _RENEW_BELOW_S = 0.4
 _ORDER_TIMEOUT_S = 0.5
-_ACCEPTED_STATUSES = (200, 202)
+_REPORT_TIMEOUT_S = 0.2
+_OK_STATUS = 200
+_ACCEPTED_STATUSES = (_OK_STATUS, 202)
 
 #: Delay of the first order. In this time all nodes learn that newer weights are named,
 #: and the engines that are ordered first finish some of their requests.
@@ -119,8 +122,9 @@
         if not await self._ensure_lease(outdated):
             return
         orders = self._choose_orders(outdated)
-        # The lease stays valid while the answers to the orders are awaited.
-        if not orders or not await self._renew_lease(_ORDER_TIMEOUT_S):
+        # The lease stays valid while the answers to the calls are awaited.
+        calls_s = _REPORT_TIMEOUT_S + _ORDER_TIMEOUT_S
+        if not orders or not await self._renew_lease(calls_s):
             return
         async with anyio.create_task_group() as tasks:
             for order in orders:
@@ -131,11 +135,11 @@
         self._sent_orders = list_unsettled(
             self._sent_orders, [server for server, _, _ in outdated], now
         )
-        n_concurrent_max = count_concurrent_max(
+        limits = count_limits(
             self.routing_state.list_all_serving(), {model for _, model, _ in outdated}
         )
         due = [DueOrder(*item) for item in outdated]
-        return choose_orders(due, self._sent_orders, n_concurrent_max, now)
+        return choose_orders(due, self._sent_orders, limits, now)
 
     async def _ensure_lease(self, outdated) -> bool:
         if self._lease.is_valid():
@@ -177,19 +181,22 @@
 
     async def _send_order(self, order: DueOrder) -> None:
         server = order.server
+        n_orders = server.n_orders
+        if is_count_doubtful(self._sent_orders, order, self.clock()):
+            n_orders = await self._read_order_count(server)
         weight_order = WeightOrder(
             order.model,
             order.version,
             self.own_name,
             self._lease.fence,
-            server.n_orders,
+            n_orders,
         )
         call = self.dialect.build_order(server, weight_order)
         if not self._lease.is_valid():
             return
         self._last_order_at = self.clock()
         self.announce_load(server)
-        record_order(self._sent_orders, order, self._last_order_at)
+        record_order(self._sent_orders, order, n_orders, self._last_order_at)
         outcome: str
         try:
             response = await self.handles.get(server).connections.request(
@@ -209,7 +216,31 @@
             model=order.model,
             version=order.version,
             loaded=server.weights.get(order.model),
-            n_orders=server.n_orders,
+            n_orders=n_orders,
             fence=weight_order.fence,
             outcome=outcome,
         )
+
+    async def _read_order_count(self, server: Server) -> int | None:
+        """Ask a server for its order count; return that of its entry on failure."""
+        call = self.dialect.build_report_call(server)
+        try:
+            response = await self.handles.get(server).connections.request(
+                HttpCall(call.method, call.target, call.headers, call.body),
+                _REPORT_TIMEOUT_S,
+            )
+            if response.status == _OK_STATUS:
+                return self.dialect.decode_order_count(response.body)
+            reason = str(response.status)
+        except ApricotliftError as error:
+            reason = str(error.code)
+        except ValueError as error:
+            reason = str(error)
+        self.metrics.count("server_reports_failed_total")
+        logs.log(
+            logs.WARNING,
+            "server_report_failed",
+            server=server.server_id,
+            reason=reason,
+        )
+        return server.n_orders
