Test that orders for two models of one engine take turns

An order states the engine's order count, so an engine gets one order at a time, and its models take turns.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders.feature
@@ -51,3 +51,10 @@
     When version 2 is named
     Then 11 seconds after the last naming all engines have version 2 in each run
     And at most 2 reports were read
+
+  # Guards against a model that never gets its weights, because orders for another model of
+  # the same engine come first.
+  Scenario: Orders for two models of an engine take turns
+    Given an engine that lacks named weights of the models "a, b"
+    When orders are chosen 4 times, 5 seconds apart
+    Then the models of the orders are "a, b, a, b"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/lateorders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/lateorders_steps.py
@@ -1,7 +1,14 @@
 from random import Random
 
 import anyio
+from apricotlift.forwarding.entities import Server
 from apricotlift.forwarding.tests.lateorders_fakes import LateCluster
+from apricotlift.forwarding.weightorders import (
+    DueOrder,
+    choose_orders,
+    count_limits,
+    record_order,
+)
 from behave import given, then, when
 
 
@@ -98,3 +105,29 @@
         counts = [names.count(name) for name in cluster.unreachable]
         assert len(counts) == n
         assert all(fewest <= count <= most for count in counts), counts
+
+
+@given('an engine that lacks named weights of the models "{models}"')
+def step_models(context, models):
+    weights = dict.fromkeys(models.split(", "), 1)
+    server = Server("e", "svc", "10.0.0.1:80", "z1", weights=weights, n_orders=0)
+    context.due = [DueOrder(server, model, 2) for model in weights]
+
+
+@when("orders are chosen {n:d} times, {gap_s:g} seconds apart")
+def step_choose(context, n, gap_s):
+    servers = {order.server.server_id: order.server for order in context.due}
+    models = {order.model for order in context.due}
+    limits = count_limits(servers.values(), models)
+    sent_orders = {}
+    context.chosen = []
+    for number in range(n):
+        now = number * gap_s
+        for order in choose_orders(context.due, sent_orders, limits, now):
+            record_order(sent_orders, order, order.server.n_orders, now)
+            context.chosen.append(order)
+
+
+@then('the models of the orders are "{models}"')
+def step_chosen_models(context, models):
+    assert ", ".join(order.model for order in context.chosen) == models, context.chosen
