--- a/features/forwardingfleet.py
+++ b/features/forwardingfleet.py
@@ -104,12 +104,13 @@
         return listener.getsockname()[1]
 
 
-def write_settings(context, name, retry_share=0.2):
+def write_settings(context, name, retry_share=0.2, n_retries=50):
     ports = context.ports[name]
     text = f"[node]\nname = {name}\nfailure_domain = z1\n\n[listen]\n"
     text += "".join(f"{key} = 127.0.0.1:{port}\n" for key, port in ports.items())
     text += f"\n[store]\naddress = {context.store_address}\n"
     text += f"\n[bounds]\ngrace_s = 8\nretry_share = {retry_share}\n"
+    text += f"n_retries = {n_retries}\n"
     text += "\n[limits]\nmemory_mb = 64\n"
     return context.processes.write_file(f"{name}.ini", text)
 
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -7,8 +7,8 @@
 ``GET /_seen`` returns the received requests and weight orders, and ``POST /_dead`` sets
 which servers close each connection. From the behaviour ``leaving:STATUS`` on, each
 response of that server says that it leaves; ``busy:SECONDS`` refuses a request and asks
-for a pause. The servers also load weights as engines do, and answer ``/kv-events``
-without any events.
+for a pause; ``quiet:N:SECONDS:LAST`` pauses a stream after event N. The servers also
+load weights as engines do, and answer ``/kv-events`` without any events.
 """
 
 import contextlib
@@ -216,6 +216,12 @@
     elif behaviour == "hang":
         entry["left_early"] = await _wait_for_close(stream)
         raise _ConnectionClosed
+    elif behaviour == "quiet":
+        entry["left_early"] = await _send_interrupted_stream(
+            connection, stream, request, own_headers, argument
+        )
+        if entry["left_early"]:
+            raise _ConnectionClosed
     elif behaviour == "endless":
         await send_without_end(stream, argument, own_headers, state.endless)
         entry["left_early"] = True
@@ -280,6 +286,35 @@
     await stream.send(connection.send(h11.EndOfMessage()))
 
 
+async def _send_interrupted_stream(
+    connection, stream, request, own_headers, argument: str
+) -> bool:
+    """Send an event stream with a pause in it.
+
+    :param argument: ``N:SECONDS:LAST``: the pause follows event N; for N = 0 it comes
+        before the head of the response.
+    :returns: whether the client closed the connection during the pause.
+    """
+    n_before, pause_s, last = argument.split(":")
+    first_event_number = _get_first_event_number(request)
+    headers = [*own_headers.items(), ("content-type", "text/event-stream")]
+    head = connection.send(h11.Response(status_code=200, headers=headers))
+    if int(n_before):
+        await stream.send(head)
+    for number in range(first_event_number, int(last) + 1):
+        if number == int(n_before) + 1:
+            with anyio.move_on_after(float(pause_s)) as scope:
+                await _wait_for_close(stream)
+            if not scope.cancelled_caught:
+                return True
+            if not int(n_before):
+                await stream.send(head)
+        data = f"id: {number}\ndata: piece {number}\n\n".encode()
+        await stream.send(connection.send(h11.Data(data=data)))
+    await stream.send(connection.send(h11.EndOfMessage()))
+    return False
+
+
 def _get_first_event_number(request: _Request) -> int:
     return int(request.headers.get("last-event-id", "0")) + 1
 
