Keep the attempt at a silent server until another server answers

Cause: a time limit for the next event, the response headers or the whole response cancelled the attempt first, and only then the node asked whether another server may go on. Where the retry budget was used up, no other server was left, or the other one refused or failed, nothing was left to go on with.

Ruled out: the change of the configuration (the same attempts end without one near), and a server that broke off (the node logged silence, and both cuts came 1.2 s after the first event, four times the route's event gap).

A silent server is now a reason to ask a second one, never to end an attempt. The first attempt is replaced when the second one has sent the first bytes of its answer; if the first one goes on before that, the second one is ended. Requests that may not be repeated are never asked twice, as before.

Before: 8 of 10 scenarios of features/silentservers.feature failed (streams ended after event 2, 504 after 1.8 s and 0.9 s); the eighth, of two servers in a row, also because the stand-in never sent the head of a resumed stream, which is mended here. After: 10 passed, and 262 others of forwarding.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
@@ -40,6 +40,7 @@
     :param note: the message that counts the attempt at an engine for all nodes,
         ``None`` for other servers.
     :param first_event_at: when the first event arrived.
+    :param is_abandoned: whether the attempt was ended because it wasn't needed.
     """
 
     handle: ServerHandle
@@ -50,6 +51,7 @@
     started_at: float
     note: PlacementNote | None = None
     first_event_at: float | None = None
+    is_abandoned: bool = False
     _last_event_at: float = 0.0
     _answer_noted_at: float = float("-inf")
 
@@ -100,6 +102,10 @@
         if self.placement is not None:
             self.suspects.note_answer(self.prompt)
 
+    def abandon(self) -> None:
+        """Let the attempt count neither as a success nor as a failure of its server."""
+        self.is_abandoned = True
+
     def end(self) -> None:
         """Stop counting the attempt."""
         self.handle.n_in_flight -= 1
@@ -132,9 +138,10 @@
     is_success: bool | None = None
     try:
         yield tracker
-        is_success = request_state.fallback_response is None
-        if not tracker.has_first_event:
-            handle.note_latency(clocks.monotonic() - now)
+        if not tracker.is_abandoned:
+            is_success = request_state.fallback_response is None
+            if not tracker.has_first_event:
+                handle.note_latency(clocks.monotonic() - now)
     except ApricotliftError as error:
         is_success = _classify_error(node, request_state, tracker, error)
         raise
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requeststate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requeststate.py
@@ -15,6 +15,7 @@
     """The response to the client."""
 
     is_started: bool
+    status: int
 
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response with its content length."""
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -1,12 +1,7 @@
 """Forwards a server's response to the client, as a whole or event by event."""
 
-import math
-from collections.abc import AsyncIterator
-
-import anyio
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
-from apricotlift.forwarding.attempttracking import AttemptTracker
 from apricotlift.forwarding.events import EventSplitter, ServerSentEvent
 from apricotlift.forwarding.requeststate import (
     BufferedResponse,
@@ -14,19 +9,19 @@
     Headers,
     RequestState,
 )
+from apricotlift.forwarding.runningattempts import RunningAttempt
 from apricotlift.upstreams.persistentconnections import StreamedResponse
 from apricotlift.upstreams.service import HOP_BY_HOP_HEADERS
 
 #: Largest whole response that is forwarded; a small machine's budget allows less.
 MAX_RESPONSE_BYTES = 33_554_432
 
-#: While another attempt is possible, one attempt may take this share of the time that
-#: is left for the request.
+#: A server that has used this share of the time that is left counts as silent.
 _ATTEMPT_TIME_SHARE = 0.45
 
-#: A stream that can be resumed at another server is considered stuck if its first event
-#: takes longer than this multiple of the route's latency target, or if a later event
-#: takes longer than a multiple of the route's event gap target.
+#: The server of a stream counts as silent if the first event takes longer than this
+#: multiple of the route's latency target, or a later event longer than a multiple of
+#: the route's event gap target.
 _FIRST_EVENT_LATENCY_FACTOR = 3.0
 
 _EVENT_GAP_FACTOR = 4.0
@@ -38,16 +33,19 @@
 _STATUS_NO_CONTENT = 204
 
 
-def get_response_timeout_s(request_state: RequestState) -> float:
-    """Return the time limit for the response headers of the current attempt."""
+def compute_response_due_at(request_state: RequestState) -> float:
+    """Return the time from which a server that is asked now counts as silent.
+
+    For a stream, that is the time of the response headers; any other response has to be
+    complete by then.
+    """
     route = request_state.request.route
     time_left_s = max(0.01, request_state.time_left_s)
-    if not request_state.may_try_another:
-        return time_left_s
+    silence_s = _ATTEMPT_TIME_SHARE * time_left_s
     if route.is_stream:
         limit_s = _FIRST_EVENT_LATENCY_FACTOR * route.target_latency_s
-        return min(time_left_s, max(limit_s, _ATTEMPT_TIME_SHARE * time_left_s * 0.5))
-    return _ATTEMPT_TIME_SHARE * time_left_s
+        silence_s = min(time_left_s, max(limit_s, 0.5 * silence_s))
+    return clocks.monotonic() + silence_s
 
 
 def is_event_stream(upstream_response: StreamedResponse) -> bool:
@@ -62,23 +60,40 @@
     return [item for item in upstream_response.headers if item[0] not in dropped]
 
 
-async def forward_buffered_response(
+async def forward_response(
+    request_state: RequestState, attempt: RunningAttempt, response: ClientResponse
+) -> None:
+    """Forward the response of an attempt to its end.
+
+    :raises ApricotliftError: if the response is incomplete or a server error.
+    """
+    upstream_response = attempt.upstream_response
+    is_success = upstream_response.status < 300
+    is_stream = request_state.request.route.is_stream and is_event_stream(
+        upstream_response
+    )
+    if is_stream and is_success:
+        await _forward_event_stream(request_state, attempt, response)
+    else:
+        await _forward_buffered_response(request_state, upstream_response, response)
+    if is_success:
+        attempt.tracker.note_complete(is_stream)
+
+
+async def _forward_buffered_response(
     request_state: RequestState,
     upstream_response: StreamedResponse,
     response: ClientResponse,
-    due_at: float,
 ) -> None:
     """Read a response to its end and send it to the client.
 
     A server error (status 500 or higher) is stored in ``request_state`` instead while
     another server may be tried.
 
-    :param due_at: time on the clock of :mod:`apricotlift.core.clocks` at which the
-        attempt is over.
     :raises ApricotliftError: if the response is incomplete, is a server error and
         another attempt is possible, or can't continue a stream that has been started.
     """
-    body = await _read_until(request_state, upstream_response, due_at)
+    body = await upstream_response.read(MAX_RESPONSE_BYTES)
     buffered = BufferedResponse(
         upstream_response.status, _select_headers(upstream_response), body
     )
@@ -100,32 +115,23 @@
     await response.send_complete(buffered.status, buffered.headers, buffered.body)
 
 
-async def _read_until(
-    request_state: RequestState, upstream_response: StreamedResponse, due_at: float
-) -> bytes:
-    with anyio.move_on_after(max(0.0, due_at - clocks.monotonic())):
-        return await upstream_response.read(MAX_RESPONSE_BYTES)
-    message = f"{request_state.server_id} didn't complete its response in time"
-    raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
-
-
-async def forward_event_stream(
-    request_state: RequestState,
-    upstream_response: StreamedResponse,
-    response: ClientResponse,
-    tracker: AttemptTracker,
+async def _forward_event_stream(
+    request_state: RequestState, attempt: RunningAttempt, response: ClientResponse
 ) -> None:
     """Send complete events as they arrive, and skip those that the client already has.
 
     :raises ApricotliftError: if the stream ends early, inside an event or before the
         first one, or contains something else than numbered events.
     """
+    upstream_response = attempt.upstream_response
+    chunks = attempt.chunks or upstream_response.iterate().__aiter__()
     with upstream_response.budget.open_reservation() as reservation:
         splitter = EventSplitter(reservation)
-        chunks = upstream_response.iterate().__aiter__()
-        due_at = _get_event_due_at(request_state, tracker)
+        attempt.due_at = _compute_event_due_at(request_state, attempt)
         while True:
-            chunk = await _read_chunk(request_state, chunks, due_at)
+            attempt.is_reading = True
+            chunk = await anext(chunks, None)
+            attempt.is_reading = False
             if chunk is None:
                 break
             events = splitter.feed(chunk)
@@ -134,13 +140,13 @@
             )
             if not data:
                 continue
-            tracker.note_event()
-            due_at = _get_event_due_at(request_state, tracker)
+            attempt.tracker.note_event()
             if not response.is_started:
                 await response.start(
                     upstream_response.status, _select_headers(upstream_response)
                 )
             await response.send_chunk(data)
+            attempt.due_at = _compute_event_due_at(request_state, attempt)
     _check_stream_end(request_state, upstream_response, splitter)
     if not response.is_started:
         await response.start(
@@ -180,33 +186,15 @@
     return not is_head and upstream_response.status != _STATUS_NO_CONTENT
 
 
-def _get_event_due_at(request_state: RequestState, tracker: AttemptTracker) -> float:
-    """Return the time by which the next complete event has to arrive.
-
-    A limit applies only if another server can resume the stream.
-    """
-    if not request_state.may_try_another:
-        return math.inf
+def _compute_event_due_at(
+    request_state: RequestState, attempt: RunningAttempt
+) -> float:
+    """Return the time by which the next complete event has to arrive."""
     route = request_state.request.route
-    timeout_s = max(_MIN_EVENT_GAP_TIMEOUT_S, _EVENT_GAP_FACTOR * route.target_gap_s)
-    if not tracker.has_first_event:
-        timeout_s = max(timeout_s, _FIRST_EVENT_LATENCY_FACTOR * route.target_latency_s)
-    return clocks.monotonic() + timeout_s
-
-
-async def _read_chunk(
-    request_state: RequestState, chunks: AsyncIterator[bytes], due_at: float
-) -> bytes | None:
-    """Return the next chunk of the stream, or ``None`` at its end.
-
-    :raises ApricotliftError: ``upstream_silent`` if no event is complete by ``due_at``.
-    """
-    if math.isinf(due_at):
-        return await anext(chunks, None)
-    with anyio.move_on_after(max(0.0, due_at - clocks.monotonic())):
-        return await anext(chunks, None)
-    message = f"{request_state.server_id} sent no complete event in time"
-    raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
+    silence_s = max(_MIN_EVENT_GAP_TIMEOUT_S, _EVENT_GAP_FACTOR * route.target_gap_s)
+    if not attempt.tracker.has_first_event:
+        silence_s = max(silence_s, _FIRST_EVENT_LATENCY_FACTOR * route.target_latency_s)
+    return clocks.monotonic() + silence_s
 
 
 def _record_if_new(request_state: RequestState, event: ServerSentEvent) -> bool:
--- a/packages/apricotlift-policy/src/apricotlift/policy/retries.py
+++ b/packages/apricotlift-policy/src/apricotlift/policy/retries.py
@@ -86,13 +86,18 @@
             settings.n_available_max, self.n_available + settings.budget_share
         )
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether the budget holds at least one retry."""
+        # Ten shares of 0.1 add up to slightly less than 1 in binary floating point.
+        return self.n_available >= 1 - 1e-9
+
     def take(self) -> bool:
         """Take one retry from the budget.
 
         :returns: whether the budget held at least one retry.
         """
-        # Ten shares of 0.1 add up to slightly less than 1 in binary floating point.
-        if self.n_available < 1 - 1e-9:
+        if not self.has_retry:
             return False
         self.n_available = max(0.0, self.n_available - 1)
         return True
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -296,21 +296,22 @@
     :returns: whether the client closed the connection during the pause.
     """
     n_before, pause_s, last = argument.split(":")
-    first_event_number = _get_first_event_number(request)
     headers = [*own_headers.items(), ("content-type", "text/event-stream")]
-    head = connection.send(h11.Response(status_code=200, headers=headers))
-    if int(n_before):
-        await stream.send(head)
+    data = connection.send(h11.Response(status_code=200, headers=headers))
+    first_event_number = _get_first_event_number(request)
+    pause_before = int(n_before) + 1 if int(n_before) else first_event_number
     for number in range(first_event_number, int(last) + 1):
-        if number == int(n_before) + 1:
+        if number == pause_before:
+            if int(n_before):
+                await stream.send(data)
+                data = b""
             with anyio.move_on_after(float(pause_s)) as scope:
                 await _wait_for_close(stream)
             if not scope.cancelled_caught:
                 return True
-            if not int(n_before):
-                await stream.send(head)
-        data = f"id: {number}\ndata: piece {number}\n\n".encode()
-        await stream.send(connection.send(h11.Data(data=data)))
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        data += connection.send(h11.Data(data=event))
+    await stream.send(data)
     await stream.send(connection.send(h11.EndOfMessage()))
     return False
 
