--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
@@ -323,6 +323,7 @@
     """
     node.metrics.count("refusals_total", code=error.code, ran=error.ran)
     if response.is_started:
+        node.metrics.count("responses_broken_off_total", code=error.code)
         return f"broken_off: {error.message}"
     status = _STATUS_BY_CODE.get(error.code, _STATUS_UNAVAILABLE)
     if error.ran is not Ran.NO:
