Accept only responses that echo the id of their request

What callers saw: a server wrote the refusal of an earlier request once more, without a request id, where the response to the next request was due. A request that may run once was then refused with 503, or sent to a second server, although the first one ran it. With 404 or 400 the client got the other request's response.

Cause: a response without a request id was taken for the request's own unless its status was 2xx. What it stated (Server-Leaving, Retry-After) was recorded as well, so that a server got no requests for the time in another request's response.

Change: servers echo the id in all responses, so one without it is now as uncertain as one with another id: 502 for requests that may run once, another server for those that may be repeated, and nothing that it states is recorded. The stand-in server now echoes the id with status 421 too, as the platform's servers do.

Ruled out: a refusal with the id of another request was rejected before. A refusal that follows a response, later or in the same packet, isn't read as the next one, because the connection is closed when it holds or receives bytes after a response.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempts.py
@@ -130,10 +130,10 @@
     server_id: str,
     upstream_response: StreamedResponse,
 ) -> bool:
-    """Return whether nothing says that another server or request is answered."""
+    """Return whether a response echoes the request id and names no other server."""
     echoed_request_id = upstream_response.get_header(names.request_id)
     answering_server_id = upstream_response.get_header(names.answering_server)
-    return echoed_request_id in (None, request.request_id) and (
+    return echoed_request_id == request.request_id and (
         answering_server_id in (None, server_id)
     )
 
@@ -146,10 +146,7 @@
 ) -> None:
     """Raise an error unless the response is this server's own to this request."""
     server_id = dispatch.handle.server.server_id
-    echoed_request_id = upstream_response.get_header(names.request_id)
-    if echoed_request_id is not None and echoed_request_id != request.request_id:
-        message = f"{server_id} sent the response to request {echoed_request_id!r}"
-        raise ApricotliftError(Code.FOREIGN_ATTEMPT, message, Ran.MAYBE, Scope.UPSTREAM)
+    _check_request_id(names, request, server_id, upstream_response)
     if upstream_response.status == _STATUS_MISDIRECTED:
         answering_server_id = upstream_response.get_header(names.answering_server)
         raise ApricotliftError(
@@ -172,14 +169,38 @@
         )
     is_success = 200 <= upstream_response.status < 300
     if is_success and (
-        echoed_request_id is None
-        or upstream_response.get_header(names.origin_stamp) is None
+        upstream_response.get_header(names.origin_stamp) is None
         or upstream_response.get_header("content-encoding") is not None
     ):
         message = (
-            f"{server_id} sent a response without the request id or an origin stamp, "
-            "or with a content encoding"
+            f"{server_id} sent a response without an origin stamp or with a content "
+            "encoding"
+        )
+        raise ApricotliftError(
+            Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
+        )
+
+
+def _check_request_id(
+    names: HeaderNames,
+    request: ClientRequest,
+    server_id: str,
+    upstream_response: StreamedResponse,
+) -> None:
+    """Raise an error unless a response echoes the id of the request.
+
+    Servers echo the id in all responses. Without it, even a refusal may belong to an
+    earlier request, and this one may be running.
+    """
+    echoed_request_id = upstream_response.get_header(names.request_id)
+    if echoed_request_id is None:
+        message = (
+            f"{server_id} sent a response without a request id, with status "
+            f"{upstream_response.status}"
         )
         raise ApricotliftError(
             Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
         )
+    if echoed_request_id != request.request_id:
+        message = f"{server_id} sent the response to request {echoed_request_id!r}"
+        raise ApricotliftError(Code.FOREIGN_ATTEMPT, message, Ran.MAYBE, Scope.UPSTREAM)
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -5,7 +5,10 @@
 ``x-script`` lists behaviours separated by commas: the n-th one applies when the request
 id arrives for the n-th time at any of the addresses, and the last one from then on.
 ``GET /_seen`` returns the received requests and weight orders, and ``POST /_dead`` sets
-which servers close each connection. From the behaviour ``leaving:STATUS`` on, each
+which servers close each connection. ``stray:DESCRIPTION`` runs the request, but sends
+a response that :mod:`standins.strayresponses` describes before its own; with
+``twice:DESCRIPTION`` and ``joined:DESCRIPTION`` it follows the own response, later or
+together with it. From the behaviour ``leaving:STATUS`` on, each
 response of that server says that it leaves; ``busy:SECONDS`` refuses a request and asks
 for a pause. The servers also load weights as engines do, and answer ``/kv-events``
 without any events.
@@ -25,6 +28,7 @@
 
 from standins.endless import EndlessState, send_without_end
 from standins.framing import send_close_delimited
+from standins.strayresponses import build_stray_response
 
 _EVENT_INTERVAL_S = 0.02
 _WEIGHT_LOAD_S = 0.1
@@ -168,7 +172,8 @@
     expected_weights = request.headers.get("x-expect-version")
     if expected_weights and int(expected_weights) != _get_weights(state, name).get("m"):
         entry["ran"] = False
-        await _send_response(connection, stream, 421, {"x-instance-id": name}, b"")
+        misdirected_headers = {"x-request-id": request_id, "x-instance-id": name}
+        await _send_response(connection, stream, 421, misdirected_headers, b"")
         return
     own_headers = {"x-request-id": request_id, "x-server-stamp": f"stamp.{name}"}
     if behaviour == "leaving":
@@ -206,13 +211,18 @@
         await _send_response(
             connection, stream, 200, {"x-request-id": request_id}, body
         )
-    elif behaviour == "twice":
+    elif behaviour == "stray":
+        await stream.send(build_stray_response(argument, request_id, name))
         await _send_response(connection, stream, 200, own_headers, body)
-        await stream.send(_EXTRA_RESPONSE)
-    elif behaviour == "joined":
-        await _send_response(
-            connection, stream, 200, own_headers, body, _EXTRA_RESPONSE
-        )
+    elif behaviour in ("twice", "joined"):
+        extra = _EXTRA_RESPONSE
+        if argument:
+            extra = build_stray_response(argument, request_id, name)
+        if behaviour == "joined":
+            await _send_response(connection, stream, 200, own_headers, body, extra)
+        else:
+            await _send_response(connection, stream, 200, own_headers, body)
+            await stream.send(extra)
     elif behaviour == "hang":
         entry["left_early"] = await _wait_for_close(stream)
         raise _ConnectionClosed
