Send the events that arrive before an invalid one

What callers saw: a stream that looked complete lacked events. A server's error arrived in the same packet as the events before it.

Cause: the ids of all events of a packet were recorded as sent before their bytes were. An event without an id then raised its error, the bytes were dropped, and the other server was asked to go on after events that the client never got.

Change: the events before an invalid one are sent, then the error is raised. An invalid event is never recorded.

Three cases that can't happen here have scenarios of their own: a resumption that begins anew, an earlier error response after a stream has begun (only sent while no response is started), and a content length of the first server, which isn't passed on with a stream.

--- a/features/steps/framing_steps.py
+++ b/features/steps/framing_steps.py
@@ -106,6 +106,25 @@
         assert b"id: 99" not in result.response[2], result
 
 
+@then(
+    "each client gets the events {first:d} to {last:d} once each in an incomplete stream, "
+    "and nothing else"
+)
+def step_incomplete_events(context, first, last):
+    for result in context.results:
+        body = result.response[2]
+        numbers = [int(number) for number in re.findall(rb"id: (\d+)\ndata", body)]
+        assert not result.is_complete, result
+        assert numbers == list(range(first, last + 1)), result
+        assert re.fullmatch(rb"(id: \d+\ndata: [^\n]+\n\n)+", body), result
+
+
+@then("each client gets no length")
+def step_no_length(context):
+    for result in context.results:
+        assert "content-length" not in result.response[1], result
+
+
 @then("each request was sent {n:d} time")
 @then("each request was sent {n:d} times")
 def step_sent(context, n):
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -129,9 +129,9 @@
             if chunk is None:
                 break
             events = splitter.feed(chunk)
-            data = b"".join(
-                event.data for event in events if _record_if_new(request_state, event)
-            )
+            data, error = _collect_new_events(request_state, events)
+            if error is not None and not data:
+                raise error
             if not data:
                 continue
             tracker.note_event()
@@ -141,6 +141,8 @@
                     upstream_response.status, _select_headers(upstream_response)
                 )
             await response.send_chunk(data)
+            if error is not None:
+                raise error
     _check_stream_end(request_state, upstream_response, splitter)
     if not response.is_started:
         await response.start(
@@ -209,19 +211,45 @@
     raise ApricotliftError(Code.UPSTREAM_SILENT, message, Ran.MAYBE, Scope.UPSTREAM)
 
 
-def _record_if_new(request_state: RequestState, event: ServerSentEvent) -> bool:
-    """Record the event's id unless the client already has the event.
+def _collect_new_events(
+    request_state: RequestState, events: list[ServerSentEvent]
+) -> tuple[bytes, ApricotliftError | None]:
+    """Record the events that the client doesn't have, up to one that is invalid.
 
-    :returns: whether the event has to be sent.
-    :raises ApricotliftError: ``upstream_protocol`` for an event without an id. Servers
-        number all events, so these bytes are no part of the response.
+    :returns: bytes to send, and the error of the invalid event. The bytes have to be
+        sent before the error is raised, because a resumption goes on after them.
     """
-    event_id = event.event_id
-    if event_id is None:
+    parts = []
+    for event in events:
+        try:
+            _check_event(request_state, event)
+        except ApricotliftError as error:
+            return b"".join(parts), error
+        if _record_if_new(request_state, event):
+            parts.append(event.data)
+    return b"".join(parts), None
+
+
+def _check_event(request_state: RequestState, event: ServerSentEvent) -> None:
+    """Check that an event belongs to the stream.
+
+    Servers number all events, so any other bytes are no part of the response.
+
+    :raises ApricotliftError: ``upstream_protocol`` for an event without an id.
+    """
+    if event.event_id is None:
         message = f"{request_state.server_id} sent an event without an id"
         raise ApricotliftError(
             Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
         )
+
+
+def _record_if_new(request_state: RequestState, event: ServerSentEvent) -> bool:
+    """Record the event's id unless the client already has the event.
+
+    :returns: whether the event has to be sent.
+    """
+    event_id = event.event_id
     last_id = request_state.last_event_id
     is_numbered = last_id is not None and last_id.isdigit() and event_id.isdigit()
     if is_numbered and int(event_id) <= int(last_id):
--- a/standins/framing.py
+++ b/standins/framing.py
@@ -3,8 +3,10 @@
 Such a response ends with its connection (RFC 9112, section 6.3). Run as
 ``python -m standins.framing``; the path of a request names the response, one of
 :data:`BODIES` or :data:`EVENT_ENDS` with the number of the last event, as in
-``/regular`` and ``/whole_events:3``. A name that ends in ``_reset`` ends with a reset
-of the connection, one that ends in ``_stall`` is left open, all others end regularly.
+``/regular`` and ``/whole_events:3``. ``repeated_events`` begin with the first event
+where a later one is asked for, and ``sized_events`` have a length. A name that ends in
+``_reset`` ends with a reset of the connection, one that ends in ``_stall`` is left
+open, all others end regularly.
 """
 
 import socket
@@ -44,8 +46,13 @@
     "short": (_HTTP_1_1 + _CLOSE + b"content-length: 100\r\n", b"short"),
     "short_reset": (_HTTP_1_1 + _CLOSE + b"content-length: 100\r\n", b"short"),
     "chunks_short": (_HTTP_1_1 + b"transfer-encoding: chunked\r\n", b"5\r\nshort\r\n"),
+    "no_content_stream": (b"HTTP/1.1 204 No Content\r\n" + _EVENT_STREAM, b""),
 }
 
+_FAILURE = b'{"error": "failed"}'
+_FAILURE_HEAD = b"HTTP/1.1 503 Service Unavailable\r\n"
+_FAILURE_HEADERS = b"content-type: application/json\r\ncontent-length: 19\r\n"
+
 #: By name: what a stream sends after its last whole event.
 EVENT_ENDS: dict[str, bytes] = {
     "whole_events": b"",
@@ -59,6 +66,19 @@
     "part_of_blank_line": b"id: 99\r\ndata: x\r\n\r",
     "part_of_field_reset": b"id: 99\nda",
     "one_line_feed_reset": b"id: 99\ndata: x\n",
+    "sized_events": b"id: 99\nda",
+    "repeated_events": b"",
+    "head_after_event": _FAILURE_HEAD + _FAILURE_HEADERS + b"\r\n" + _FAILURE,
+    "head_inside_event": b"id: 99\ndata: x"
+    + (_FAILURE_HEAD + _FAILURE_HEADERS + b"\r\n" + _FAILURE),
+    "bare_head_inside_event": b"id: 99\ndata: x" + _FAILURE_HEAD + b"\r\n" + _FAILURE,
+    "error_object": _FAILURE + b"\n\n",
+    "error_event": b"event: error\ndata: " + _FAILURE + b"\n\n",
+    "events_and_error": b"id: 4\ndata: x\n\nid: 5\ndata: x\n\n" + _FAILURE + b"\n\n",
+    "word_as_id": b"id: failed\ndata: " + _FAILURE + b"\n\n",
+    "superscript_as_id": b"id: \xb2\ndata: " + _FAILURE + b"\n\n",
+    "long_id": b"id: " + b"9" * 5000 + b"\ndata: " + _FAILURE + b"\n\n",
+    "empty_id": b"id:\ndata: " + _FAILURE + b"\n\n",
 }
 
 
@@ -78,6 +98,10 @@
     name, _, last_event_number = kind.partition(":")
     lines = "".join(f"{key}: {value}\r\n" for key, value in headers.items()).encode()
     if name in EVENT_ENDS:
+        if name == "sized_events":
+            lines += b"content-length: 1000\r\n"
+        if name == "repeated_events":
+            first_event_number = 1
         await stream.send(_HTTP_1_1 + lines + _EVENT_STREAM + b"\r\n")
         for number in range(first_event_number, int(last_event_number) + 1):
             await stream.send(f"id: {number}\ndata: {text}\n\n".encode())
