Forward no event that isn't one of the stream's own

What callers saw: a server's stream failed, and the server, or the one that went on with it, wrote its error into the body. Clients found a whole response head in the middle of their stream ("id: 99\ndata: xHTTP/1.1 503 Service Unavailable\r\ncontent-type: ..."), and the stream ended as if it were complete. With an id that is a word or empty, the error's text was sent as the last event. With an id of a superscript digit or of 5,000 digits the request failed with an internal error, and the stream wasn't resumed.

Cause: an event was accepted if it had a line that begins with "id:". Bytes between an event that was cut off and the next blank line became part of the event. Ids were compared as numbers only if both were; str.isdigit also holds for digits that int() refuses, and int() refuses more than 4,300 digits.

Change: an event is invalid if its id is empty, if it has no number after numbered events, or if it holds a response head, that is a status line followed by a header, or by the end of the head in an event whose lines before it end in LF only. Text that only looks like a status line is followed by another field of the event and stays valid. Streams whose ids aren't numbers from the start are forwarded as before.

Ruled out: a head after a complete event, an error object or an "event: error" without an id were rejected before. A numbered event of the type "error" is the server's own and is forwarded.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/events.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/events.py
@@ -12,8 +12,17 @@
 from apricotlift.upstreams.readbudget import Reservation
 
 MAX_EVENT_BYTES = 262_144
+#: Digits of the largest 64-bit number; Python refuses to convert very long numbers.
+_MAX_ID_DIGITS = 20
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+#: The head of an HTTP response within an event: a status line and a header, or a status
+#: line that ends the head after lines that end in LF only. A line of the event's text
+#: that looks like a status line is followed by another field of the event instead.
+_RESPONSE_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9]{2}[^\r\n]*\r\n(?!(?:data|event|id|retry)?:)[!-9;-~]+:"
+    rb"|[^\r]\n[^\r\n]*HTTP/1\.[01] [1-5][0-9]{2}[^\r\n]*\r\n\r\n"
+)
 #: The end of an event may be split over chunks, except for its last byte.
 _N_OVERLAP = 3
 
@@ -25,6 +34,19 @@
     data: bytes
     event_id: str | None
 
+    @property
+    def has_response_head(self) -> bool:
+        """Whether the server wrote the head of another response into the event.
+
+        >>> head = b"HTTP/1.1 500 Error\\r\\ncontent-length: 0\\r\\n\\r\\n"
+        >>> ServerSentEvent(b"id: 1\\ndata: x" + head, "1").has_response_head
+        True
+        >>> text = b"data: HTTP/1.1 200 OK\\r\\ndata: content-length: 0\\r\\n\\r\\n"
+        >>> ServerSentEvent(b"id: 1\\r\\n" + text, "1").has_response_head
+        False
+        """
+        return b"HTTP/1." in self.data and bool(_RESPONSE_HEAD.search(self.data))
+
 
 class EventSplitter:
     """Assembles complete events from the chunks of a body.
@@ -78,6 +100,17 @@
             self._reservation.resize(n_bytes)
 
 
+def parse_event_number(event_id: str | None) -> int | None:
+    """Return the number that an event's id is, ``None`` for another id.
+
+    >>> [parse_event_number(event_id) for event_id in ("12", "a12", "9" * 30, None)]
+    [12, None, None, None]
+    """
+    if event_id is None or not event_id.isdecimal() or len(event_id) > _MAX_ID_DIGITS:
+        return None
+    return int(event_id)
+
+
 def _find_event_id(data: bytes) -> str | None:
     found = _EVENT_ID.findall(data)
     return found[-1].decode("latin-1") if found else None
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -7,7 +7,11 @@
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.attempttracking import AttemptTracker
-from apricotlift.forwarding.events import EventSplitter, ServerSentEvent
+from apricotlift.forwarding.events import (
+    EventSplitter,
+    ServerSentEvent,
+    parse_event_number,
+)
 from apricotlift.forwarding.requeststate import (
     BufferedResponse,
     ClientResponse,
@@ -235,10 +239,21 @@
 
     Servers number all events, so any other bytes are no part of the response.
 
-    :raises ApricotliftError: ``upstream_protocol`` for an event without an id.
+    :raises ApricotliftError: ``upstream_protocol`` for an event without an id, without
+        a number after numbered events, or with the head of a response.
     """
-    if event.event_id is None:
-        message = f"{request_state.server_id} sent an event without an id"
+    message = ""
+    if not event.event_id:
+        message = "sent an event without an id"
+    elif event.has_response_head:
+        message = f"sent the head of a response inside event {event.event_id[:64]!r}"
+    elif (
+        parse_event_number(request_state.last_event_id) is not None
+        and parse_event_number(event.event_id) is None
+    ):
+        message = f"sent event {event.event_id[:64]!r} after numbered events"
+    if message:
+        message = f"{request_state.server_id} {message}"
         raise ApricotliftError(
             Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
         )
@@ -249,10 +264,9 @@
 
     :returns: whether the event has to be sent.
     """
-    event_id = event.event_id
-    last_id = request_state.last_event_id
-    is_numbered = last_id is not None and last_id.isdigit() and event_id.isdigit()
-    if is_numbered and int(event_id) <= int(last_id):
+    number = parse_event_number(event.event_id)
+    last_number = parse_event_number(request_state.last_event_id)
+    if number is not None and last_number is not None and number <= last_number:
         return False
-    request_state.last_event_id = event_id
+    request_state.last_event_id = event.event_id
     return True
