Tell a resumption that ends before the client's last event from a complete one

What callers saw: a stream broke off after event 3, the next server sent the events 1 and 2 and a regular end, or status 204 with the type of an event stream. The client's stream ended as if it were complete.

Cause: events that the client already has are skipped, and a resumed stream may have no further event, so that a server which stopped earlier than the first one looked like one that has nothing left to send. Status 204 was taken for an empty stream.

Change: a stream whose last event precedes the client's last one is broken, and so is status 204 once a stream has begun. A stream that repeats all events up to the client's last one, and one without any event, are complete as before: nothing tells the latter from a server that crashed and closed its connection regularly.

--- a/features/brokenstreams.feature
+++ b/features/brokenstreams.feature
@@ -49,7 +49,7 @@
       | status:500                         | status:404                          | status:503                        |
       | status:206                         | ok                                  | shed                              |
       | cut                                | close_delimited:regular             | close_delimited:empty             |
-      | close_delimited:chunks_short       | close_delimited:regular             | close_delimited:empty             |
+      | close_delimited:chunks_short       | close_delimited:no_content_stream   | close_delimited:repeated_events:2 |
       | close_delimited:head_after_event:3 | close_delimited:head_inside_event:3 | close_delimited:error_object:3    |
       | close_delimited:error_event:3      | close_delimited:word_as_id:3        | close_delimited:part_of_field:3   |
       | torn:3                             | status:500                          | cut                               |
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -96,14 +96,20 @@
         )
         raise ApricotliftError(Code.UPSTREAM_FAILED, message, Ran.MAYBE, Scope.UPSTREAM)
     if response.is_started:
-        message = (
-            f"{request_state.server_id} sent status {upstream_response.status} instead "
-            "of the rest of a resumed stream"
-        )
-        raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+        raise _build_resumption_error(request_state, upstream_response)
     await response.send_complete(buffered.status, buffered.headers, buffered.body)
 
 
+def _build_resumption_error(
+    request_state: RequestState, upstream_response: StreamedResponse
+) -> ApricotliftError:
+    message = (
+        f"{request_state.server_id} sent status {upstream_response.status} instead "
+        "of the rest of a resumed stream"
+    )
+    return ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+
+
 async def _read_until(
     request_state: RequestState, upstream_response: StreamedResponse, due_at: float
 ) -> bytes:
@@ -124,6 +130,9 @@
     :raises ApricotliftError: if the stream ends early, inside an event or before the
         first one, or contains something else than numbered events.
     """
+    if response.is_started and upstream_response.status == _STATUS_NO_CONTENT:
+        raise _build_resumption_error(request_state, upstream_response)
+    last_received_id = None
     with upstream_response.budget.open_reservation() as reservation:
         splitter = EventSplitter(reservation)
         chunks = upstream_response.iterate().__aiter__()
@@ -134,6 +143,8 @@
                 break
             events = splitter.feed(chunk)
             data, error = _collect_new_events(request_state, events)
+            if events and error is None:
+                last_received_id = events[-1].event_id
             if error is not None and not data:
                 raise error
             if not data:
@@ -147,7 +158,7 @@
             await response.send_chunk(data)
             if error is not None:
                 raise error
-    _check_stream_end(request_state, upstream_response, splitter)
+    _check_stream_end(request_state, upstream_response, splitter, last_received_id)
     if not response.is_started:
         await response.start(
             upstream_response.status, _select_headers(upstream_response)
@@ -159,12 +170,14 @@
     request_state: RequestState,
     upstream_response: StreamedResponse,
     splitter: EventSplitter,
+    last_received_id: str | None,
 ) -> None:
     """Raise an error if a stream that ended regularly is no complete response.
 
     A server that crashes after its headers may end an empty body regularly. A stream
     that resumes after an event may have no further one.
 
+    :param last_received_id: id of the last event of this server, ``None`` without one.
     :raises ApricotliftError: ``stream_broken``.
     """
     message = ""
@@ -174,6 +187,11 @@
         request_state, upstream_response
     ):
         message = "ended its stream without an event"
+    elif _precedes(last_received_id, request_state.last_event_id):
+        message = (
+            f"ended its stream with event {last_received_id}, before the last one that "
+            "the client has"
+        )
     if message:
         message = f"{request_state.server_id} {message}"
         raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
@@ -270,3 +288,10 @@
         return False
     request_state.last_event_id = event.event_id
     return True
+
+
+def _precedes(event_id: str | None, other_id: str | None) -> bool:
+    """Return whether both ids are numbers and the first one is lower."""
+    number = parse_event_number(event_id)
+    other_number = parse_event_number(other_id)
+    return number is not None and other_number is not None and number < other_number
