--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -2,7 +2,11 @@
 
 from apricotlift.core import clocks
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
-from apricotlift.forwarding.events import EventSplitter, ServerSentEvent
+from apricotlift.forwarding.events import (
+    EventSplitter,
+    ServerSentEvent,
+    parse_event_number,
+)
 from apricotlift.forwarding.requeststate import (
     BufferedResponse,
     ClientResponse,
@@ -107,14 +111,20 @@
         )
         raise ApricotliftError(Code.UPSTREAM_FAILED, message, Ran.MAYBE, Scope.UPSTREAM)
     if response.is_started:
-        message = (
-            f"{request_state.server_id} sent status {upstream_response.status} instead "
-            "of the rest of a resumed stream"
-        )
-        raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+        raise _build_resumption_error(request_state, upstream_response)
     await response.send_complete(buffered.status, buffered.headers, buffered.body)
 
 
+def _build_resumption_error(
+    request_state: RequestState, upstream_response: StreamedResponse
+) -> ApricotliftError:
+    message = (
+        f"{request_state.server_id} sent status {upstream_response.status} instead "
+        "of the rest of a resumed stream"
+    )
+    return ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+
+
 async def _forward_event_stream(
     request_state: RequestState, attempt: RunningAttempt, response: ClientResponse
 ) -> None:
@@ -124,7 +134,10 @@
         first one, or contains something else than numbered events.
     """
     upstream_response = attempt.upstream_response
+    if response.is_started and upstream_response.status == _STATUS_NO_CONTENT:
+        raise _build_resumption_error(request_state, upstream_response)
     chunks = attempt.chunks or upstream_response.iterate().__aiter__()
+    last_received_id = None
     with upstream_response.budget.open_reservation() as reservation:
         splitter = EventSplitter(reservation)
         attempt.due_at = _compute_event_due_at(request_state, attempt)
@@ -135,9 +148,11 @@
             if chunk is None:
                 break
             events = splitter.feed(chunk)
-            data = b"".join(
-                event.data for event in events if _record_if_new(request_state, event)
-            )
+            data, error = _collect_new_events(request_state, events)
+            if events and error is None:
+                last_received_id = events[-1].event_id
+            if error is not None and not data:
+                raise error
             if not data:
                 continue
             attempt.tracker.note_event()
@@ -146,8 +161,10 @@
                     upstream_response.status, _select_headers(upstream_response)
                 )
             await response.send_chunk(data)
+            if error is not None:
+                raise error
             attempt.due_at = _compute_event_due_at(request_state, attempt)
-    _check_stream_end(request_state, upstream_response, splitter)
+    _check_stream_end(request_state, upstream_response, splitter, last_received_id)
     if not response.is_started:
         await response.start(
             upstream_response.status, _select_headers(upstream_response)
@@ -159,12 +176,14 @@
     request_state: RequestState,
     upstream_response: StreamedResponse,
     splitter: EventSplitter,
+    last_received_id: str | None,
 ) -> None:
     """Raise an error if a stream that ended regularly is no complete response.
 
     A server that crashes after its headers may end an empty body regularly. A stream
     that resumes after an event may have no further one.
 
+    :param last_received_id: id of the last event of this server, ``None`` without one.
     :raises ApricotliftError: ``stream_broken``.
     """
     message = ""
@@ -174,6 +193,11 @@
         request_state, upstream_response
     ):
         message = "ended its stream without an event"
+    elif _precedes(last_received_id, request_state.last_event_id):
+        message = (
+            f"ended its stream with event {last_received_id}, before the last one that "
+            "the client has"
+        )
     if message:
         message = f"{request_state.server_id} {message}"
         raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
@@ -197,22 +221,69 @@
     return clocks.monotonic() + silence_s
 
 
+def _collect_new_events(
+    request_state: RequestState, events: list[ServerSentEvent]
+) -> tuple[bytes, ApricotliftError | None]:
+    """Record the events that the client doesn't have, up to one that is invalid.
+
+    :returns: bytes to send, and the error of the invalid event. The bytes have to be
+        sent before the error is raised, because a resumption goes on after them.
+    """
+    parts = []
+    for event in events:
+        try:
+            check_event(request_state, event, request_state.server_id)
+        except ApricotliftError as error:
+            return b"".join(parts), error
+        if _record_if_new(request_state, event):
+            parts.append(event.data)
+    return b"".join(parts), None
+
+
+def check_event(
+    request_state: RequestState, event: ServerSentEvent, server_id: str
+) -> None:
+    """Check that an event belongs to the stream.
+
+    Servers number all events, so any other bytes are no part of the response.
+
+    :raises ApricotliftError: ``upstream_protocol`` for an event without an id, without
+        a number after numbered events, or with the head of a response.
+    """
+    message = ""
+    if not event.event_id:
+        message = "sent an event without an id"
+    elif event.has_response_head:
+        message = f"sent the head of a response inside event {event.event_id[:64]!r}"
+    elif (
+        parse_event_number(request_state.last_event_id) is not None
+        and parse_event_number(event.event_id) is None
+    ):
+        message = f"sent event {event.event_id[:64]!r} after numbered events"
+    if message:
+        raise ApricotliftError(
+            Code.UPSTREAM_PROTOCOL,
+            f"{server_id} {message}",
+            Ran.MAYBE,
+            Scope.UPSTREAM,
+        )
+
+
 def _record_if_new(request_state: RequestState, event: ServerSentEvent) -> bool:
     """Record the event's id unless the client already has the event.
 
     :returns: whether the event has to be sent.
-    :raises ApricotliftError: ``upstream_protocol`` for an event without an id. Servers
-        number all events, so these bytes are no part of the response.
     """
-    event_id = event.event_id
-    if event_id is None:
-        message = f"{request_state.server_id} sent an event without an id"
-        raise ApricotliftError(
-            Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
-        )
-    last_id = request_state.last_event_id
-    is_numbered = last_id is not None and last_id.isdigit() and event_id.isdigit()
-    if is_numbered and int(event_id) <= int(last_id):
+    number = parse_event_number(event.event_id)
+    last_number = parse_event_number(request_state.last_event_id)
+    if number is not None and last_number is not None and number <= last_number:
         return False
-    request_state.last_event_id = event_id
+    request_state.last_event_id = event.event_id
     return True
+
+
+def _precedes(event_id: str | None, other_id: str | None) -> bool:
+    """Return whether both ids are numbers and the first one is lower."""
+    number = parse_event_number(event_id)
+    other_number = parse_event_number(other_id)
+    return number is not None and other_number is not None and number < other_number
