Replace a silent attempt only when the other server has sent a valid event

A server that sent only a head, or something else than an event of the stream, replaced an attempt that would have gone on. The scenario with a second server that sends part of a body and stalls guards against it.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -17,6 +17,10 @@
     When a client posts "/long/a" with the script "quiet:2:2.5:6,cut" to "n1"
     Then the client gets 200 with the events 1 to 6 once each
 
+  Scenario: A stream isn't cut off at a silent server while another sends only a head
+    When a client posts "/long/a" with the script "quiet:2:2.5:6,close_delimited:body_stall" to "n1"
+    Then the client gets 200 with the events 1 to 6 once each
+
   Scenario: A stream isn't cut off at a silent server while the others are silent too
     When a client posts "/long/a" with the script "quiet:2:2.5:6,hang" to "n1"
     Then the client gets 200 with the events 1 to 6 once each
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/hedging.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/hedging.py
@@ -13,9 +13,11 @@
 from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.attempts import Dispatch
+from apricotlift.forwarding.events import EventSplitter
 from apricotlift.forwarding.placement import Placement
 from apricotlift.forwarding.requeststate import ClientResponse, RequestState
 from apricotlift.forwarding.responses import (
+    check_event,
     compute_response_due_at,
     forward_response,
     is_event_stream,
@@ -34,6 +36,7 @@
 #: Interval at which an attempt is looked at while it waits for the client.
 _CLIENT_WAIT_INTERVAL_S = 0.1
 
+_STATUS_OK = 200
 _MIN_SERVER_ERROR_STATUS = 500
 
 
@@ -178,7 +181,7 @@
                 )
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._cancel_opening_on_progress)
-                    failure = await self._read_first_chunk(attempt)
+                    failure = await self._wait_for_answer(attempt)
                     tasks.cancel_scope.cancel()
                 if failure is not None:
                     raise failure
@@ -189,7 +192,7 @@
             self.request_state.n_possibly_run += 1
             self.request_state.tried_server_ids.add(attempt.server_id)
 
-    async def _read_first_chunk(
+    async def _wait_for_answer(
         self, attempt: RunningAttempt
     ) -> ApricotliftError | None:
         """Wait until an attempt has begun to answer.
@@ -200,12 +203,25 @@
             await attempt.open(self.node, self.request_state)
             self._check_successor(attempt)
             if is_event_stream(attempt.upstream_response):
-                chunks = attempt.upstream_response.iterate().__aiter__()
-                attempt.chunks = _prepend(await anext(chunks, None), chunks)
+                await self._read_first_event(attempt)
         except ApricotliftError as error:
             return error
         return None
 
+    async def _read_first_event(self, attempt: RunningAttempt) -> None:
+        upstream_response = attempt.upstream_response
+        chunks = upstream_response.iterate().__aiter__()
+        received = []
+        with upstream_response.budget.open_reservation() as reservation:
+            splitter = EventSplitter(reservation)
+            async for chunk in chunks:
+                received.append(chunk)
+                events = splitter.feed(chunk)
+                if events:
+                    check_event(self.request_state, events[0], attempt.server_id)
+                    break
+        attempt.chunks = _chain(received, chunks)
+
     async def _cancel_opening_on_progress(self) -> None:
         while self._current is None or self._is_silent():
             await anyio.sleep(_CLIENT_WAIT_INTERVAL_S)
@@ -217,7 +233,7 @@
         is_failed = status >= _MIN_SERVER_ERROR_STATUS
         if self.response.is_started:
             is_stream = is_event_stream(attempt.upstream_response)
-            is_failed = status >= 300 or not is_stream
+            is_failed = status != _STATUS_OK or not is_stream
         if is_failed:
             message = f"{attempt.server_id} failed with status {status}"
             raise ApricotliftError(
@@ -248,11 +264,10 @@
         )
 
 
-async def _prepend(
-    first: bytes | None, chunks: AsyncIterator[bytes]
+async def _chain(
+    received: list[bytes], chunks: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
-    if first is None:
-        return
-    yield first
+    for chunk in received:
+        yield chunk
     async for chunk in chunks:
         yield chunk
