Fail a request to an unusable address as one that did not run

Callers saw: nothing at first; the node ended. One entry of an engine with port 99999 was enough: the poll for its cache events and the order to load weights handle ApricotliftError (and ValueError), but not what the connection raised, so the task group of the process ended with it. Cause: the address was split with int(port) and handed to the system unchecked. A port above 65535 raises OverflowError inside anyio's task group (ExceptionGroup), 5000 digits raise ValueError, and a host that can't be encoded raises IDNAError. Ruled out: DNS and address errors (999.0.0.1, '....') are OSError and were converted. Now the address is checked before it is used, in one function, and all ValueErrors of the connection become upstream_connect with 'not run'. The crash check splits addresses with the same function.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashchecks.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashchecks.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+from apricotlift.core.addresses import split_address
 from apricotlift.forwarding.entities import Server
 
 #: A server that crashes may accept connections for a moment after it breaks others.
@@ -76,10 +77,10 @@
 
 
 async def _refuses_connections(address: str) -> bool:
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     try:
         with anyio.fail_after(_CHECK_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await anyio.connect_tcp(host, port)
             await stream.aclose()
         return False
     except TimeoutError:
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
@@ -14,6 +14,7 @@
 import anyio
 import httpcore
 from apricotlift.core import clocks
+from apricotlift.core.addresses import split_address
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.core.metrics import Metrics
 from apricotlift.upstreams.bodies import (
@@ -222,6 +223,14 @@
         except TRANSPORT_ERRORS as error:
             self.n_open -= 1
             raise convert_transport_error(error) from error
+        except ValueError as error:
+            # The address may come from an entry that another program wrote. Host names
+            # that can't be encoded raise a subclass, UnicodeError.
+            self.n_open -= 1
+            message = f"unusable address: {error}"
+            raise ApricotliftError(
+                Code.UPSTREAM_CONNECT, message, Ran.NO, Scope.UPSTREAM
+            ) from error
         except BaseException:
             self.n_open -= 1
             raise
@@ -256,20 +265,20 @@
 async def _open_connection(
     address: str, timeout_s: float
 ) -> httpcore.AsyncHTTP11Connection:
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     stream = await BoundedBackend().connect_tcp(
-        host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
+        host, port, timeout=timeout_s, socket_options=SOCKET_OPTIONS
     )
-    origin = httpcore.Origin(b"http", host.encode(), int(port))
+    origin = httpcore.Origin(b"http", host.encode(), port)
     return httpcore.AsyncHTTP11Connection(origin, stream)
 
 
 def _build_request(address: str, call: HttpCall) -> httpcore.Request:
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     url = httpcore.URL(
         scheme=b"http",
         host=host.encode(),
-        port=int(port),
+        port=port,
         target=call.target.encode("latin-1"),
     )
     headers = [
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/persistentconnections_steps.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/persistentconnections_steps.py
@@ -1,5 +1,7 @@
+import re
+
 import anyio
-from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.errors import ApricotliftError, Code, Ran
 from apricotlift.core.metrics import Metrics
 from apricotlift.upstreams.persistentconnections import HttpCall, PersistentConnections
 from behave import given, then, when
@@ -56,3 +58,26 @@
 @then("no connection is open")
 def step_none_open(context):
     assert context.connections.n_open == 0, context.connections.n_open
+
+
+@when('a request is sent to the address "{address}"')
+def step_request_to_address(context, address):
+    address = address.replace("(5000 digits)", "9" * 5000)
+    address = re.sub(r"\\u([0-9a-f]{4})", lambda found: chr(int(found[1], 16)), address)
+    context.connections = PersistentConnections(address, 4, Metrics())
+    context.error = None
+
+    async def run():
+        try:
+            await context.connections.request(HttpCall("GET", "/"), 5.0)
+        except Exception as error:
+            context.error = error
+
+    anyio.run(run)
+
+
+@then("it fails with upstream_connect and did not run")
+def step_connect_error(context):
+    error = context.error
+    assert isinstance(error, ApricotliftError), repr(error)[:200]
+    assert error.code is Code.UPSTREAM_CONNECT and error.ran is Ran.NO, error
