Ignore a keep-alive time whose digits are no decimal number

A server's header 'Keep-Alive: timeout=²' raised ValueError, because str.isdigit accepts the superscript and float doesn't. The weight rollout handles only ApricotliftError, so an engine that answers an order this way ended the process; a client's request got an internal error. The scenario failed with ValueError: could not convert string to float: '²'. isdecimal accepts just the digits that float reads.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/persistentconnections.py
@@ -303,7 +303,8 @@
     """
     for item in (response.get_header("keep-alive") or "").split(","):
         name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
+        # Digits of other scripts, as "²", aren't accepted by ``float``.
+        if name.lower() == "timeout" and value.strip().isdecimal():
             stated_s = float(value)
             return max(stated_s - IDLE_MARGIN_S, stated_s * _IDLE_TIME_FRACTION)
     return DEFAULT_IDLE_S
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/persistentconnections.feature
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/persistentconnections.feature
@@ -26,3 +26,8 @@
       | ....:80                  |
       | \u0661.0.0.1:80          |
       | \ud800:80                |
+
+  # Guards against an unhandled error because a header's digits are no decimal number.
+  Scenario: A keep-alive time that is no number is ignored
+    When a server answers with the keep-alive time "\xb2"
+    Then the request succeeds
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/persistentconnections_steps.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/steps/persistentconnections_steps.py
@@ -81,3 +81,29 @@
     error = context.error
     assert isinstance(error, ApricotliftError), repr(error)[:200]
     assert error.code is Code.UPSTREAM_CONNECT and error.ran is Ran.NO, error
+
+
+@when('a server answers with the keep-alive time "\\xb2"')
+def step_keep_alive(context):
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            head = b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=\xb2\r\n"
+            await stream.send(head + b"content-length: 0\r\n\r\n")
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        connections = PersistentConnections(f"127.0.0.1:{port}", 4, Metrics())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, answer)
+            context.response = await connections.request(HttpCall("GET", "/"), 5.0)
+            await connections.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("the request succeeds")
+def step_succeeds(context):
+    assert context.response.status == 200
