Keep the pool of peers when one address can't be used

Callers saw: the node ended. A member row with the peer address 127.0.0.1:99999 (or a port that is no number, '[::1:80', a host that can't be encoded) made the task of that peer raise ValueError, which ended the pool's task group and the process. Cause: the library raises ValueError for such a URI; the pool handled OSError, WebSocketException and EOFError. Ruled out: host names that don't resolve (OSError) and an empty address (InvalidURI). All 5 rows of the scenario failed before, for example with ValueError('Port out of range 0-65535'). The address is now unreachable like an absent peer, with its back-off.

--- a/packages/apricotlift-wire/src/apricotlift/wire/pool.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/pool.py
@@ -272,7 +272,8 @@
             return error
         except TimeoutError:
             return self._build_error("didn't finish the handshake in time")
-        except (OSError, WebSocketException, EOFError) as error:
+        except (OSError, WebSocketException, EOFError, ValueError) as error:
+            # An address that can't be used raises ValueError.
             fault = f"{type(error).__name__} {error}"
             return self._build_error(f"did not accept the connection: {fault}")
         finally:
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
@@ -115,3 +115,18 @@
     Guards against frames that are sent in plain text although the settings require TLS.
     Given a peer server with a TLS context
     Then a pool with TLS reaches it and a plain-text pool doesn't
+
+  Scenario Outline: An unusable address of one peer doesn't end the pool
+    Guards against a member row with an address that ends the process of each node that
+    reads it.
+    Given a peer server that echoes digests
+    When a pool sends a request to the address "<address>"
+    Then that request fails with peer_unreachable and the pool still reaches the server
+
+    Examples:
+      | address            |
+      | 127.0.0.1:99999    |
+      | 127.0.0.1:abc      |
+      | [::1:80            |
+      | \ud800:80          |
+      | (300 letters):80   |
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
@@ -523,3 +523,19 @@
         assert (await request_document(pool, context)).body == b"ping"
         error = await get_error(request_document(plain, context))
         assert error.code == Code.PEER_UNREACHABLE, error
+
+
+@when('a pool sends a request to the address "{address}"')
+def note_unusable_address(context, address):
+    address = address.replace("(300 letters)", "a" * 300)
+    context.unusable_address = address.replace("\\ud800", "\ud800")
+
+
+@then("that request fails with peer_unreachable and the pool still reaches the server")
+@run_in_event_loop
+async def check_pool_goes_on(context):
+    async with run_server(context), build_pool() as pool:
+        message = DocumentRequest("ping")
+        error = await get_error(pool.request(context.unusable_address, message, 5))
+        assert error.code == "peer_unreachable", error
+        assert (await request_document(pool, context)).body == b"ping"
