Refuse a message with text that can't be encoded, and tell the peer

A reply with a lone surrogate (a row's key, for example) raised UnicodeEncodeError in the task that handles the request. That ended the connection's task, with all requests that shared the connection; a follower that asked its reader for such rows lost it each time. The scenario failed with 'connection lost' in place of a refusal. The encoder now raises peer_protocol, and the listener sends it as a failure, as it does for frames that are too large. The step counts 5 refusals instead of 4, because the scenario has one more.

--- a/packages/apricotlift-wire/src/apricotlift/wire/frames.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/frames.py
@@ -35,9 +35,15 @@
 def encode_frame(message: Message, request_number: int = ONE_WAY) -> bytes:
     """Return the bytes of a frame.
 
-    :raises ApricotliftError: ``FRAME_TOO_LARGE`` above ``MAX_FRAME_BYTES``.
+    :raises ApricotliftError: ``FRAME_TOO_LARGE`` above ``MAX_FRAME_BYTES``, or
+        ``PEER_PROTOCOL`` for text that isn't valid Unicode.
     """
-    data = cbor2.dumps([message.kind, request_number, message.to_map()])
+    try:
+        data = cbor2.dumps([message.kind, request_number, message.to_map()])
+    except UnicodeEncodeError as error:
+        raise ApricotliftError(
+            Code.PEER_PROTOCOL, f"{message.kind} has text that can't be encoded"
+        ) from error
     if len(data) > MAX_FRAME_BYTES:
         raise build_size_error(len(data))
     return data
--- a/packages/apricotlift-wire/src/apricotlift/wire/listener.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/listener.py
@@ -182,7 +182,8 @@
             # receives frames ends too.
             reason = error.code
             self._metrics.count("peer_drops_total", reason=f"reply_{reason}")
-            if reason == Code.FRAME_TOO_LARGE and link.websocket.close_code is None:
+            is_unsendable = reason in (Code.FRAME_TOO_LARGE, Code.PEER_PROTOCOL)
+            if is_unsendable and link.websocket.close_code is None:
                 await self._send_failure(link, frame.request_number, error)
         finally:
             request_slots.release()
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
@@ -81,6 +81,7 @@
     Then the digest "refuse" is answered with overloaded
     And the digest "fail" is answered with internal
     And the digest "huge" is answered with frame_too_large
+    And the digest "surrogate" is answered with peer_protocol
     And a message kind without handler is answered with not_found
     And all these requests used one peer connection
 
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
@@ -30,6 +30,7 @@
     DocumentReply,
     DocumentRequest,
     FindAttempt,
+    HeadReply,
     HeadRequest,
     Hello,
     Proof,
@@ -95,6 +96,8 @@
             raise ZeroDivisionError("a fault of the handler")
         if message.digest == "huge":
             return DocumentReply(True, bytes(MAX_FRAME_BYTES))
+        if message.digest == "surrogate":
+            return HeadReply(1, "\ud800", 0, True)
         context.n_echoed += 1
         return DocumentReply(True, message.digest.encode())
 
@@ -389,7 +392,7 @@
 @then("all these requests used one peer connection")
 @run_in_event_loop
 async def check_refusals(context):
-    assert len(context.refusals) == 4
+    assert len(context.refusals) == 5
     async with run_server(context), build_pool() as pool:
         for message, code in context.refusals:
             error = await get_error(pool.request(context.address, message, 5))
