Contain the failure of one row of a followed table at that row

Callers saw: the node ended. Any error besides ValueError while a row was decoded or applied (OverflowError for a number too large, for example) left the task of the followed table, and the process ended with it. All nodes follow the same rows, so all ended, and again after each start. Cause: the decoders' ValueErrors were handled, other errors nowhere. Now the servers', the operator's and the crash rows are applied one by one: a row whose decoding fails in any way is refused (a server's entry names no server), any other error is logged as row_failed with the row's key and counted in rows_failed_total, and the task of a feed that fails all the same logs feed_failed, pauses and reads the table again. Reasons in the log are cut to 200 characters.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,6 +20,7 @@
 POLL_S = 2.2
 _RETRY_PAUSE_MIN_S = 0.08
 _RETRY_PAUSE_MAX_S = 0.6
+_REASON_LENGTH_MAX = 200
 
 
 @dataclass(frozen=True)
@@ -71,6 +72,33 @@
         """Apply rows that the store returned."""
 
 
+def describe_error(error: Exception) -> str:
+    """Return the type and the message of an error, cut to the length of a log field."""
+    return f"{type(error).__name__}: {str(error)[:_REASON_LENGTH_MAX]}"
+
+
+def apply_rows(
+    table: str,
+    rows: Iterable[StoredRow],
+    apply: Callable[[StoredRow], None],
+    metrics: Metrics,
+) -> None:
+    """Apply rows one by one; one that fails is logged and counted, the others hold."""
+    for row in rows:
+        try:
+            apply(row)
+        # Other programs write rows too. No fault of one may end the followed table.
+        except Exception as error:
+            metrics.count("rows_failed_total", table=table)
+            logs.log(
+                logs.ERROR,
+                "row_failed",
+                table=table,
+                row=row.key,
+                reason=describe_error(error),
+            )
+
+
 class Feed:
     """Follows one table and passes its rows on.
 
@@ -149,6 +177,14 @@
                 self._note_error(error)
                 await anyio.sleep(pause_s * random.uniform(0.7, 1.3))
                 pause_s = min(_RETRY_PAUSE_MAX_S, pause_s * 2)
+            # The process would end with this task, and all nodes read the same table.
+            except Exception:
+                self._must_load = True
+                self._metrics.count(
+                    "feed_failures_total", table=self.table, reason="internal"
+                )
+                logs.log_exception("feed_failed", table=self.table)
+                await anyio.sleep(_RETRY_PAUSE_MAX_S * random.uniform(0.7, 1.3))
 
     async def refresh(self) -> None:
         """Read the table now, for a decision that must not use outdated rows.
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -17,7 +17,14 @@
     Server,
     ServerState,
 )
-from apricotlift.forwarding.feeds import Feed, RowSet, RowSource
+from apricotlift.forwarding.feeds import (
+    Feed,
+    RowSet,
+    RowSource,
+    StoredRow,
+    apply_rows,
+    describe_error,
+)
 from apricotlift.forwarding.weighttargets import NamedWeights, WeightTargets
 
 #: Time for which lapsed entries are kept once the store is available again. Servers
@@ -151,27 +158,38 @@
         return True
 
     def _apply_operator(self, rows: RowSet, is_full_table: bool) -> None:
-        for row in rows.rows:
-            if row.value is None:
-                continue
-            try:
-                instruction = self.dialect.decode_instruction(row.key, row.value)
-            except ValueError as error:
-                self.metrics.count("rows_refused_total", table="operator")
-                logs.log(
-                    logs.ERROR, "instruction_refused", row=row.key, reason=str(error)
-                )
-                continue
-            if instruction is None:
-                continue
-            if instruction.configuration is not None:
-                self.apply_configuration(instruction.configuration)
-            if instruction.weights is not None:
-                self._apply_weights(
-                    instruction.weights.model,
-                    instruction.weights.version,
-                    is_full_table,
-                )
+        apply_rows(
+            "operator",
+            rows.rows,
+            lambda row: self._apply_operator_row(row, is_full_table),
+            self.metrics,
+        )
+
+    def _apply_operator_row(self, row: StoredRow, is_full_table: bool) -> None:
+        if row.value is None:
+            return
+        try:
+            instruction = self.dialect.decode_instruction(row.key, row.value)
+        # Whatever the decoder raises, the row can't be used.
+        except Exception as error:
+            self.metrics.count("rows_refused_total", table="operator")
+            logs.log(
+                logs.ERROR,
+                "instruction_refused",
+                row=row.key,
+                reason=describe_error(error),
+            )
+            return
+        if instruction is None:
+            return
+        if instruction.configuration is not None:
+            self.apply_configuration(instruction.configuration)
+        if instruction.weights is not None:
+            self._apply_weights(
+                instruction.weights.model,
+                instruction.weights.version,
+                is_full_table,
+            )
 
     def _apply_weights(
         self, model: str, version: int, is_full_table: bool = False
@@ -191,31 +209,41 @@
         )
 
     def _apply_servers(self, rows: RowSet, is_full_table: bool) -> None:
-        seen = set()
-        for row in rows.rows:
-            server = None
-            if row.value is not None:
-                server = self._decode_server(row.key, row.value)
-            if server is not None:
-                seen.add(row.key)
-                self._update_server(server)
-            elif row.value is not None:
-                self._remove_server(row.key, "unreadable_entry")
-            else:
-                self._schedule_removal(row.key)
+        seen: set[str] = set()
+        apply_rows(
+            "servers",
+            rows.rows,
+            lambda row: self._apply_server_row(row, seen),
+            self.metrics,
+        )
         if is_full_table:
             for server_id in list(self.servers):
                 if server_id not in seen:
                     self._schedule_removal(server_id)
         self._serving_by_service = None
 
+    def _apply_server_row(self, row: StoredRow, seen: set[str]) -> None:
+        if row.value is None:
+            self._schedule_removal(row.key)
+            return
+        server = self._decode_server(row.key, row.value)
+        if server is None:
+            self._remove_server(row.key, "unreadable_entry")
+            return
+        seen.add(row.key)
+        self._update_server(server)
+
     def _decode_server(self, key: str, value: bytes) -> Server | None:
         try:
             return self.dialect.decode_server(key, value)
-        except ValueError as error:
+        # Whatever the decoder raises, the entry can't be used.
+        except Exception as error:
             self.metrics.count("rows_refused_total", table="servers")
             logs.log(
-                logs.WARNING, "server_entry_refused", server=key, reason=str(error)
+                logs.WARNING,
+                "server_entry_refused",
+                server=key,
+                reason=describe_error(error),
             )
             return None
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
@@ -32,7 +32,7 @@
     parse_row,
 )
 from apricotlift.forwarding.entities import ClientRequest, Prompt, Server
-from apricotlift.forwarding.feeds import Feed, RowSet, RowSource, StoredRow
+from apricotlift.forwarding.feeds import Feed, RowSet, RowSource, StoredRow, apply_rows
 from apricotlift.platform.table import Delete, Put
 
 TABLE = "apricotlift-suspects"
@@ -336,18 +336,18 @@
 
     def _apply(self, rows: RowSet, is_full_table: bool) -> None:
         # A clearance applies to the crashes before it, so the order matters.
-        for row in sorted(rows.rows, key=lambda row: row.version):
-            if row.value is None:
-                self._forget_row(row.key)
-            else:
-                self._apply_row(row, is_old=not self.feed.is_loaded)
+        ordered = sorted(rows.rows, key=lambda row: row.version)
+        apply_rows(TABLE, ordered, self._apply_row, self.metrics)
         if is_full_table:
             listed = {row.key for row in rows.rows}
             for key, row in list(self._rows.items()):
                 if key not in listed and row.version:
                     self._forget_row(key)
 
-    def _apply_row(self, row: StoredRow, is_old: bool) -> None:
+    def _apply_row(self, row: StoredRow) -> None:
+        if row.value is None:
+            self._forget_row(row.key)
+            return
         known = self._rows.get(row.key)
         if known is not None and (known.is_own or known.version == row.version):
             known.version = row.version
@@ -368,7 +368,7 @@
             return
         if isinstance(content, CrashReport):
             known.incarnation = content.incarnation
-            self._count_crash(content, is_old)
+            self._count_crash(content, is_old=not self.feed.is_loaded)
         else:
             for part in content.cleared:
                 self.evidence.add_answer(part)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/routingstate.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/routingstate.feature
@@ -72,3 +72,39 @@
     And the store discards its history and receives the row "y"
     And the store is unavailable for a while and receives the row "z"
     Then the feed has the rows "x, y, z"
+
+  # Guards against a process that ends because applying one row raises an unexpected
+  # error.
+  Scenario Outline: A row that fails unexpectedly doesn't affect the others
+    Given a routing state with the servers "a, b, c"
+    And a decoder that raises "<error>" for the row "b"
+    When the entries of "a, b, d" are written again
+    Then the servers are "a, c, d"
+    And 1 row of the servers was refused
+    And the log line "server_entry_refused" names the row "b" and "<error>"
+
+    Examples:
+      | error          |
+      | OverflowError  |
+      | RecursionError |
+      | KeyError       |
+
+  # Guards against a process that ends because of one row of the operator's table.
+  Scenario: A row of the operator that fails unexpectedly doesn't affect the others
+    Given an empty routing state
+    And a decoder that raises "OverflowError" for the row "weights/m"
+    When the operator's rows contain an unreadable row and configuration 4
+    Then configuration 4 is in force
+
+  # Guards against a log line without end for an entry with many faults.
+  Scenario: The reason in a log line is bounded
+    Given a routing state with the servers "a"
+    When the entry of "b" is refused with a reason of 100000 characters
+    Then the log line "server_entry_refused" has at most 1000 characters
+
+  # Guards against a followed table whose task ends because its rows can't be applied.
+  Scenario: A feed goes on after its rows could not be applied
+    Given a store with the row "x"
+    When a feed follows it and fails to apply its first rows
+    And the store is unavailable for a while and receives the row "z"
+    Then the feed has the rows "x, z"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/routingstate_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/routingstate_steps.py
@@ -1,4 +1,10 @@
+import builtins
+import contextlib
+import io
+import json
+
 import anyio
+from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.feeds import Feed, RowSet, StoredRow
@@ -8,6 +14,8 @@
     build_dialect,
     build_row,
     build_rows,
+    decode_instruction,
+    decode_server,
 )
 from behave import given, then, when
 
@@ -107,6 +115,71 @@
     context.clock.now += seconds
 
 
+@given('a decoder that raises "{error}" for the row "{key}"')
+def step_failing_decoder(context, error, key):
+    def decode(row_key, value):
+        if row_key == key:
+            raise getattr(builtins, error)("the fault of the test")
+        return decode_server(row_key, value)
+
+    def decode_operator_row(row_key, value):
+        if row_key == key:
+            raise getattr(builtins, error)("the fault of the test")
+        return decode_instruction(row_key, value)
+
+    context.routing_state.dialect = build_dialect(
+        decode_server=decode, decode_instruction=decode_operator_row
+    )
+
+
+@when('the entries of "{names}" are written again')
+def step_entries_written(context, names):
+    rows = [(name, {"service": "svc"}) for name in names.split(", ")]
+    with capture_log() as context.log:
+        context.routing_state._apply_servers(build_rows(*rows), False)
+
+
+@when('the entry of "{name}" is refused with a reason of {n:d} characters')
+def step_long_reason(context, name, n):
+    def decode(key, value):
+        raise ValueError("x" * n)
+
+    context.routing_state.dialect = build_dialect(decode_server=decode)
+    with capture_log() as context.log:
+        context.routing_state._apply_servers(build_rows((name, {})), False)
+
+
+@contextlib.contextmanager
+def capture_log():
+    """Collect the log lines, formatted, that are written in the block."""
+    stream = io.StringIO()
+    with contextlib.redirect_stderr(stream):
+        logs.configure("routingstate-tests")
+        yield stream
+    logs.configure("routingstate-tests")
+
+
+@then("{n:d} row of the servers was refused")
+def step_rows_refused(context, n):
+    metrics = context.routing_state.metrics
+    assert metrics.get_count("rows_refused_total", table="servers") == n
+
+
+@then('the log line "{event}" names the row "{key}" and "{error}"')
+def step_log_line(context, event, key, error):
+    lines = [json.loads(line) for line in context.log.getvalue().splitlines()]
+    (line,) = (line for line in lines if line["event"] == event)
+    assert line["server"] == key and error in line["reason"], line
+
+
+@then('the log line "{event}" has at most {n:d} characters')
+def step_log_line_length(context, event, n):
+    (line,) = (
+        line for line in context.log.getvalue().splitlines() if f'"{event}"' in line
+    )
+    assert len(line) <= n, len(line)
+
+
 @then("no engine is outdated")
 def step_not_outdated(context):
     assert not context.routing_state.list_outdated_engines()
@@ -173,6 +246,13 @@
 @when("a feed follows it")
 def step_feed(context):
     context.script = []
+    context.n_failing = 0
+
+
+@when("a feed follows it and fails to apply its first rows")
+def step_failing_feed(context):
+    context.script = []
+    context.n_failing = 1
 
 
 @when('the store discards its history and receives the row "{key}"')
@@ -203,6 +283,9 @@
 
     async def run():
         def apply(rows, is_full_table):
+            if context.n_failing:
+                context.n_failing -= 1
+                raise OverflowError("int too large to convert to float")
             found.update(row.key for row in rows.rows)
 
         feed = Feed(context.source, "t", apply, Metrics())
