Read a table of the store although a row in the response is odd

Callers saw: the node ended, at each start again. Cause: rows were decoded without a check; the errors (TypeError, AttributeError, KeyError, OverflowError for 1e400, RecursionError, ValueError for 5,000 digits) weren't handled. Now rows are decoded one by one. The client of the table service in apricotlift.platform does the same for its items; its example runs as a doctest.

--- a/packages/apricotlift-platform/src/apricotlift/platform/table.py
+++ b/packages/apricotlift-platform/src/apricotlift/platform/table.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.core.metrics import Metrics
 from apricotlift.upstreams.pool import Pool, Response, Timeouts
@@ -21,6 +22,10 @@
 #: protocol.
 MAX_TRANSACTION_ITEMS = 100
 
+#: Larger numbers fit neither the nodes' messages nor what they calculate.
+_NUMBER_MAX = 2**63 - 1
+_N_CHARACTERS_LOGGED = 64
+
 Value = str | int | float | bytes | bool
 
 
@@ -216,8 +221,11 @@
             message = f"table service answered with status {response.status}"
             raise ApricotliftError(Code.TABLE_UNAVAILABLE, message, Ran.NO, Scope.FLEET)
         try:
-            return json.loads(response.body)
-        except ValueError as error:
+            data = json.loads(response.body)
+            if not isinstance(data, dict):
+                raise ValueError("expected an object")
+            return data
+        except (ValueError, RecursionError) as error:
             message = f"table service sent invalid JSON: {error}"
             raise ApricotliftError(
                 Code.TABLE_UNAVAILABLE, message, Ran.NO, Scope.FLEET
@@ -281,17 +289,36 @@
 
     >>> decode_values({"n": {"N": "3"}, "f": {"N": "0.5"}})
     {'n': 3, 'f': 0.5}
+
+    :raises ValueError: if the item has another form, for example because another
+        program wrote it.
     """
-    values: dict[str, Value] = {}
-    for name, typed in item.items():
+    if type(item) is not dict:
+        raise ValueError(f"expected an item, got {type(item).__name__}")
+    return {name: _decode_value(name, typed) for name, typed in item.items()}
+
+
+def _decode_value(name: str, typed: object) -> Value:
+    kind, value = "", None
+    if type(typed) is dict and len(typed) == 1:
         ((kind, value),) = typed.items()
-        if kind == "N":
-            values[name] = int(value) if value.lstrip("-").isdigit() else float(value)
-        elif kind == "B":
-            values[name] = base64.b64decode(value)
-        else:
-            values[name] = value
-    return values
+    if kind == "BOOL" and type(value) is bool:
+        return value
+    if kind == "S" and type(value) is str:
+        return value
+    if kind == "N" and type(value) is str:
+        return _decode_number(value)
+    if kind == "B" and type(value) is str:
+        return base64.b64decode(value)
+    raise ValueError(f"value of {name[:_N_CHARACTERS_LOGGED]!r} has no known type")
+
+
+def _decode_number(text: str) -> int | float:
+    is_integer = text.lstrip("-").isdecimal()
+    number = int(text) if is_integer else float(text)
+    if not -_NUMBER_MAX <= number <= _NUMBER_MAX:
+        raise ValueError("number is too large")
+    return number
 
 
 def _encode_condition(condition: Condition) -> dict:
@@ -315,10 +342,32 @@
 
 
 def _build_row(item: dict[str, dict]) -> Row:
-    values = decode_values(item)
-    pk = str(values.pop("pk"))
-    sk = str(values.pop("sk"))
-    return Row(pk, sk, values)
+    """Return the row of an item, without values where these can't be read.
+
+    >>> _build_row({"pk": {"S": "p"}, "sk": {"S": "s"}, "n": {"N": "9" * 5000}})
+    Row(pk='p', sk='s', values={})
+
+    :raises ApricotliftError: ``table_unavailable`` if the item has no keys.
+    """
+    try:
+        keys = decode_values({name: item[name] for name in ("pk", "sk")})
+    except (KeyError, TypeError, ValueError) as error:
+        message = f"table service sent an item without keys: {type(error).__name__}"
+        raise ApricotliftError(
+            Code.TABLE_UNAVAILABLE, message, Ran.NO, Scope.FLEET
+        ) from error
+    others = {name: typed for name, typed in item.items() if name not in keys}
+    try:
+        values = decode_values(others)
+    except ValueError as error:
+        logs.log(
+            logs.WARNING,
+            "table_row_unreadable",
+            row=f"{keys['pk']}/{keys['sk']}"[:_N_CHARACTERS_LOGGED],
+            reason=str(error)[:_N_CHARACTERS_LOGGED],
+        )
+        values = {}
+    return Row(str(keys["pk"]), str(keys["sk"]), values)
 
 
 def _decode_error(response: Response) -> tuple[str, dict]:
