Handle lease rows of members that another program wrote

Callers saw: the node ended. Its own row with the renewal 'x' raised ValueError in the task that renews the lease, and an incarnation such as 'zz' raised it at the start; a row without values raised KeyError. A live member whose row was overwritten counted as departed for a minute. Other members' addresses were connected to, and named to callers, without a check. Now an own row that isn't usable is written again on the condition that it is as read, unusable rows of others are logged, counted and don't remove their member, and a summary needs usable addresses, text that can be sent, and an incarnation that can be followed by another. The step of an existing scenario used 20 digits f as a newer incarnation; it uses 0 and 19 digits f now, the greatest that a node can have, and checks the same.

--- a/packages/apricotlift-state/src/apricotlift/state/memberlease.py
+++ b/packages/apricotlift-state/src/apricotlift/state/memberlease.py
@@ -18,7 +18,12 @@
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.platform.table import ABSENT, Condition, Delete, Put, Row, build_equals
-from apricotlift.state.view import NEVER, MemberState, build_incarnation
+from apricotlift.state.view import (
+    NEVER,
+    MemberState,
+    build_incarnation,
+    is_valid_summary,
+)
 from apricotlift.wire.messages import MemberSummary, RenewLease
 
 MEMBER_PK = "member"
@@ -239,6 +244,12 @@
                 self._take_new_incarnation()
             self._known_row = None
             return None
+        if parse_summary_row(row) is None:
+            # Another program wrote it, so it says nothing about another process.
+            self._metrics.count("lease_rows_unusable_total")
+            logs.log(logs.WARNING, "lease_row_unusable", node_id=self._own.node_id)
+            self._known_row = row
+            return row
         holder = str(row.values.get("incarnation", ""))
         if holder not in (self.incarnation, self._replaces):
             if self._has_written_row:
@@ -248,8 +259,7 @@
                 self.incarnation = build_incarnation(
                     self._wall_ms(), self._random, holder
                 )
-        renewal = row.values.get("renewal", 0)
-        self._renewal = max(self._renewal, int(renewal))
+        self._renewal = max(self._renewal, row.values["renewal"])
         self._known_row = row
         return row
 
@@ -298,7 +308,8 @@
     if known is None:
         return ABSENT
     names = ("incarnation", "renewal")
-    return build_equals(**{name: known.values[name] for name in names})
+    found = {name: known.values[name] for name in names if name in known.values}
+    return build_equals(**found)
 
 
 async def write_for_peer(table, node_id: str, message: RenewLease) -> None:
@@ -334,6 +345,9 @@
     await table.transact([Put(row, build_row_condition(known))])
 
 
+#: The renewal number is increased and must still fit a message.
+_NUMBER_MAX = 2**63 - 1
+
 _ROW_TYPES = {
     "incarnation": str,
     "renewal": int,
@@ -353,6 +367,10 @@
                 f"lease row: expected {kind.__name__} for {name}, "
                 f"got {type(values.get(name)).__name__}",
             )
+        if kind is int and not 0 <= values[name] < _NUMBER_MAX:
+            raise ApricotliftError(
+                Code.BAD_REQUEST, f"lease row: {name} isn't from 0 to {_NUMBER_MAX - 1}"
+            )
 
 
 def parse_summary_row(row: Row) -> MemberSummary | None:
@@ -362,4 +380,5 @@
     except ApricotliftError:
         return None
     names = ("incarnation", "peer_address", "caller_address", "failure_domain", "state")
-    return MemberSummary(row.sk, **{name: row.values[name] for name in names})
+    summary = MemberSummary(row.sk, **{name: row.values[name] for name in names})
+    return summary if is_valid_summary(summary) else None
--- a/packages/apricotlift-state/src/apricotlift/state/membership.py
+++ b/packages/apricotlift-state/src/apricotlift/state/membership.py
@@ -210,13 +210,16 @@
         """
         rows = await self._table.query(MEMBER_PK)
         summaries = []
+        unusable_ids = set()
         for row in rows:
             summary = parse_summary_row(row)
             if summary is None:
+                unusable_ids.add(row.sk)
                 self._metrics.count("member_refused_total", reason="malformed_row")
+                logs.log(logs.WARNING, "member_row_unusable", node_id=row.sk)
             else:
                 summaries.append(summary)
-        self.view.apply_table(summaries)
+        self.view.apply_table(summaries, unusable_ids)
         self.view.forget_departed()
         self._check_own_incarnation()
         self._record_renewals(rows)
--- a/packages/apricotlift-state/src/apricotlift/state/tests/memberlease.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/memberlease.feature
@@ -102,3 +102,37 @@
     When the membership row of node-a is deleted by another node
     Then the membership lease can be renewed
     And the membership row of node-a has the new incarnation
+
+  Scenario Outline: An unusable row of the node is written again
+    Guards against a node that ends, or counts as superseded, because another program
+    overwrote its row with <fault>.
+    Given a membership lease that is held
+    When another program writes the membership row of node-a with <fault>
+    Then the membership lease can be renewed
+    And the membership row of node-a is usable again
+
+    Examples:
+      | fault                              |
+      | no values                          |
+      | the renewal "x"                    |
+      | the renewal 2**70                  |
+      | the renewal -1                     |
+      | the incarnation "zz"               |
+      | the incarnation "f" * 20           |
+      | the incarnation 7                  |
+      | the peer_address "127.0.0.1:99999" |
+      | the state "\ud800"                 |
+
+  Scenario Outline: A node starts although its row is unusable
+    Guards against a node that ends at each start because its row has <fault>.
+    Given a membership lease in a table whose writes take 0 s
+    When another program writes the membership row of node-a with <fault>
+    Then the membership lease can be renewed
+    And the membership row of node-a is usable again
+
+    Examples:
+      | fault                    |
+      | no values                |
+      | the renewal "x"          |
+      | the incarnation "zz"     |
+      | the incarnation "f" * 20 |
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/memberlease_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/memberlease_steps.py
@@ -1,11 +1,13 @@
 """Steps for the lease row of a node, with a fake table and clock."""
 
+import json
 from random import Random
 
 import anyio
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
-from apricotlift.state.memberlease import Lease, write_for_peer
+from apricotlift.platform.table import Row
+from apricotlift.state.memberlease import Lease, parse_summary_row, write_for_peer
 from apricotlift.state.tests.membership_fakes import (
     FakeClock,
     FakeTable,
@@ -212,3 +214,36 @@
 @then("there is no membership row of node-a")
 def check_no_row(context):
     assert context.rows_table.rows == {}
+
+
+_USABLE_VALUES = {
+    "incarnation": f"{WALL_MS:012x}" + "0" * 8,
+    "renewal": 1,
+    "peer_address": "127.0.0.1:1",
+    "caller_address": "127.0.0.1:2",
+    "failure_domain": "domain-1",
+    "state": "serving",
+    "confirmed_version": 0,
+}
+_ODD_VALUES = {"2**70": 2**70, '"f" * 20': "f" * 20, '"\\ud800"': "\ud800"}
+
+
+@when("another program writes the membership row of node-a with {fault}")
+def write_odd_row(context, fault):
+    known = context.rows_table.rows.get("node-a")
+    values = dict(known.values if known else _USABLE_VALUES)
+    if fault == "no values":
+        values = {}
+    else:
+        _, name, text = fault.split(" ", 2)
+        is_named = text in _ODD_VALUES
+        values[name] = _ODD_VALUES[text] if is_named else json.loads(text)
+    context.rows_table.rows["node-a"] = Row("member", "node-a", values)
+
+
+@then("the membership row of node-a is usable again")
+def check_usable(context):
+    row = context.rows_table.rows["node-a"]
+    summary = parse_summary_row(row)
+    assert summary is not None and summary.incarnation == context.lease.incarnation
+    assert summary.incarnation[0] == "0" and row.values["renewal"] < 2**63, row
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
@@ -169,7 +169,7 @@
 
 @when("the membership node receives a newer incarnation of itself")
 def receive_newer_own_incarnation(context):
-    context.node.view.apply_summary(build_summary("node-a", "f" * 20))
+    context.node.view.apply_summary(build_summary("node-a", "0" + "f" * 19))
     context.node._check_own_incarnation()
 
 
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/view_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/view_steps.py
@@ -128,3 +128,25 @@
     majority = context.view.check_majority()
     assert (majority.n_heard, majority.n_members) == (heard, n), majority
     assert majority.is_majority == (heard * 2 > n)
+
+
+@when("the membership view reads a table with an unusable row of node-b")
+def read_unusable_row(context):
+    context.view.apply_table([], unusable_ids={"node-b"})
+
+
+@then("the membership view still holds node-b")
+def check_still_held(context):
+    assert "node-b" in context.view.members
+
+
+@when("the membership view receives a summary of node-c with the {name} {value}")
+def receive_odd_summary(context, name, value):
+    value = value.replace("\\ud800", "\ud800")
+    summary = replace(build_summary("node-c"), **{name: value})
+    context.view.apply_summary(summary)
+
+
+@then("the membership view doesn't hold node-c")
+def check_not_held(context):
+    assert "node-c" not in context.view.members
--- a/packages/apricotlift-state/src/apricotlift/state/tests/view.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/view.feature
@@ -60,3 +60,26 @@
     Then the membership majority is 5 of 8
     When 8.1 s pass for the membership view
     Then the membership majority is 1 of 8
+
+  Scenario: A member whose row becomes unusable stays a member
+    Guards against a live node that counts as departed, and isn't listed to callers for a
+    minute, because another program overwrote its row.
+    Given a membership view that knows node-b as 5 serving
+    When the membership view receives node-b as 5 serving from the table
+    And the membership view reads a table with an unusable row of node-b
+    Then the membership view still holds node-b
+
+  Scenario Outline: A summary that can't be used is refused
+    Guards against a member with <fault>, which nodes would connect to or name to callers.
+    Given a membership view that knows node-b as 5 serving
+    When the membership view receives a summary of node-c with <fault>
+    Then the membership view doesn't hold node-c
+
+    Examples:
+      | fault                               |
+      | the caller_address 127.0.0.1:99999  |
+      | the caller_address 127.0.0.1        |
+      | the peer_address 127.0.0.1:0        |
+      | the peer_address \ud800:80          |
+      | the failure_domain \ud800           |
+      | the incarnation ffffffffffffffffffff |
--- a/packages/apricotlift-state/src/apricotlift/state/view.py
+++ b/packages/apricotlift-state/src/apricotlift/state/view.py
@@ -14,12 +14,13 @@
 
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from random import Random
 
 from apricotlift.core import clocks, hashing
+from apricotlift.core.addresses import split_address
 from apricotlift.core.metrics import Metrics
 from apricotlift.wire.messages import MemberSummary
 
@@ -51,7 +52,9 @@
 _ELIGIBLE_REFRESH_INTERVAL_S = 0.2
 _MAX_CACHED_OWNERS = 4096
 
-_INCARNATION = re.compile(r"[0-9a-f]{20}")
+# The first digit is 0 until the year 2527. After an incarnation of the greatest time,
+# there would be none that follows.
+_INCARNATION = re.compile(r"0[0-9a-f]{19}")
 _TIME_DIGITS = 12
 
 
@@ -121,9 +124,19 @@
 
 
 def is_valid_summary(summary: MemberSummary) -> bool:
-    """Return whether a summary has an id, a known state and a valid incarnation."""
+    """Return whether all values of a summary can be used and sent to other nodes."""
     is_ordered = _INCARNATION.fullmatch(summary.incarnation) is not None
-    return is_ordered and summary.state in _STATE_RANKS and bool(summary.node_id)
+    if not is_ordered or summary.state not in _STATE_RANKS or not summary.node_id:
+        return False
+    try:
+        split_address(summary.peer_address)
+        split_address(summary.caller_address)
+        for text in vars(summary).values():
+            # Raises UnicodeEncodeError for a lone surrogate.
+            text.encode()
+    except ValueError:
+        return False
+    return True
 
 
 def build_member_key(summary: MemberSummary) -> bytes:
@@ -202,12 +215,17 @@
         self._invalidate_roster()
         return True
 
-    def apply_table(self, summaries: list[MemberSummary]) -> None:
+    def apply_table(
+        self, summaries: list[MemberSummary], unusable_ids: Collection[str] = ()
+    ) -> None:
         """Apply the result of a query of the lease rows.
 
         A member whose row was returned by an earlier query and is now missing has left.
+
+        :param unusable_ids: ids whose rows another program has overwritten; these
+            members haven't left.
         """
-        listed = {summary.node_id for summary in summaries}
+        listed = {summary.node_id for summary in summaries}.union(unusable_ids)
         for summary in summaries:
             self.apply_summary(summary)
         for member in list(self.members.values()):
