--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/steps/connections_steps.py
@@ -30,6 +30,7 @@
     DocumentReply,
     DocumentRequest,
     FindAttempt,
+    HeadReply,
     HeadRequest,
     Hello,
     Proof,
@@ -95,6 +96,8 @@
             raise ZeroDivisionError("a fault of the handler")
         if message.digest == "huge":
             return DocumentReply(True, bytes(MAX_FRAME_BYTES))
+        if message.digest == "surrogate":
+            return HeadReply(1, "\ud800", 0, True)
         context.n_echoed += 1
         return DocumentReply(True, message.digest.encode())
 
@@ -389,7 +392,7 @@
 @then("all these requests used one peer connection")
 @run_in_event_loop
 async def check_refusals(context):
-    assert len(context.refusals) == 4
+    assert len(context.refusals) == 5
     async with run_server(context), build_pool() as pool:
         for message, code in context.refusals:
             error = await get_error(pool.request(context.address, message, 5))
@@ -523,3 +526,19 @@
         assert (await request_document(pool, context)).body == b"ping"
         error = await get_error(request_document(plain, context))
         assert error.code == Code.PEER_UNREACHABLE, error
+
+
+@when('a pool sends a request to the address "{address}"')
+def note_unusable_address(context, address):
+    address = address.replace("(300 letters)", "a" * 300)
+    context.unusable_address = address.replace("\\ud800", "\ud800")
+
+
+@then("that request fails with peer_unreachable and the pool still reaches the server")
+@run_in_event_loop
+async def check_pool_goes_on(context):
+    async with run_server(context), build_pool() as pool:
+        message = DocumentRequest("ping")
+        error = await get_error(pool.request(context.unusable_address, message, 5))
+        assert error.code == "peer_unreachable", error
+        assert (await request_document(pool, context)).body == b"ping"
