Read the store's era from each of its answers

A store that comes back from a copy gives versions out again, and no part of the system could tell its answers from those of before.

The stand-in states its era in each answer, takes a copy and goes back to it, cuts the open polls then, and answers 410 to a poll from a version that it doesn't have.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -39,6 +39,7 @@
     :param age_s: time since the store returned them, in seconds.
     :param wait_s: time for which the store holds the poll open without a change;
         ``None`` where another node answered and ``age_s`` is never too low.
+    :param era: era of the store that the version belongs to; 0 where it isn't known.
     """
 
     rows: tuple[StoredRow, ...]
@@ -46,6 +47,7 @@
     is_full_table: bool = False
     age_s: float = 0.0
     wait_s: float | None = None
+    era: int = 0
 
 
 class RowSource(Protocol):
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' store: rows, transactions and a feed of changes.
 
 Run as ``python -m standins.rowstore``. ``POST /_fault`` selects a fault to simulate,
+takes a copy (``{"copy": true}``) or goes back to it (``{"restore": true}``),
 ``POST /_put`` writes a row as the operator or a server would, and ``GET /_calls``
 returns the number of calls by path.
 """
@@ -8,7 +9,7 @@
 import base64
 import json
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from apricotlift.core import logs
@@ -17,6 +18,17 @@
 
 _READ_ONLY_TABLES = ("op", "servers")
 _POLL_INTERVAL_S = 0.01
+_FIRST_ERA = 1
+
+
+@dataclass(frozen=True)
+class RowStoreCopy:
+    """The rows and the history of a store at one moment."""
+
+    rows: dict[tuple[str, str, str], tuple[bytes, int]]
+    history: tuple[tuple[int, tuple[str, str, str], bytes | None], ...]
+    version: int
+    kept_from: int
 
 
 @dataclass
@@ -30,6 +42,8 @@
     :param mode: simulated fault: ``none``; ``refuse`` answers 503 to every call;
         ``silent`` doesn't answer; ``lose`` applies transactions without answering.
     :param n_calls: calls by path, without those that control the stand-in.
+    :param era: number of the store's state; it rises when a copy is restored.
+    :param copy: the copy that :meth:`restore` goes back to.
     """
 
     rows: dict[tuple[str, str, str], tuple[bytes, int]] = field(default_factory=dict)
@@ -40,6 +54,22 @@
     kept_from: int = 0
     mode: str = "none"
     n_calls: dict[str, int] = field(default_factory=dict)
+    era: int = _FIRST_ERA
+    copy: RowStoreCopy | None = None
+
+    def save_copy(self) -> None:
+        """Keep a copy of the current state."""
+        self.copy = RowStoreCopy(
+            dict(self.rows), tuple(self.history), self.version, self.kept_from
+        )
+
+    def restore(self) -> None:
+        """Go back to the state of the last copy, as a new era."""
+        self.rows = dict(self.copy.rows)
+        self.history = list(self.copy.history)
+        self.version = self.copy.version
+        self.kept_from = self.copy.kept_from
+        self.era += 1
 
     def write(self, new_values: dict, removed_keys: list) -> None:
         """Apply a transaction as one new version."""
@@ -113,9 +143,12 @@
 
     async def feed(request: Request) -> Reply:
         after = int(request.query["after"])
+        era = state.era
         deadline_at = time.monotonic() + int(request.query.get("waitMs", "0")) / 1000
         while True:
-            if after < state.kept_from:
+            if state.era != era:
+                return Reply(cut=True)
+            if after < state.kept_from or after > state.version:
                 return build_versioned_reply({}, 410)
             changes = [
                 (version, key, value)
@@ -139,11 +172,15 @@
     async def handle_control(request: Request) -> Reply:
         data = request.read_json()
         if request.path == "/_fault":
-            state.mode = data["mode"]
+            state.mode = data.get("mode", state.mode)
             if data.get("forget"):
                 state.history.clear()
                 state.kept_from = state.version + 1
                 state.version += 1
+            if data.get("copy"):
+                state.save_copy()
+            if data.get("restore"):
+                state.restore()
             return build_json_reply({})
         if request.path == "/_calls":
             return build_json_reply(state.n_calls)
@@ -158,6 +195,10 @@
     async def handle(request: Request, streaming) -> Reply | None:
         if request.path.startswith("/_"):
             return await handle_control(request)
+        reply = await handle_call(request)
+        return replace(reply, headers={**reply.headers, "Store-Era": str(state.era)})
+
+    async def handle_call(request: Request) -> Reply:
         state.n_calls[request.path] = state.n_calls.get(request.path, 0) + 1
         if state.mode == "refuse":
             return Reply(503)
