Read tables again when the store is in a new era

A feed kept its position across a restore. Where the version counter had passed the position again before the next poll, the store answered it as if nothing was missing: rows that were written in between were lost for good, a configuration or a server's entry among them. A refresh dropped the rows of a restored store, because their version was lower.

A position now belongs to an era. An answer of another era is only taken as a whole table, and a poll that was asked in an earlier era doesn't move the position. The store client tells all feeds of a new era as soon as any answer shows it, which ends their open polls; a position of an earlier era is answered with the whole table. The node logs store_restored once, and table_read_again for each table.

A 410 alone is no remedy: it doesn't come once the counter has passed the position.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -1,7 +1,9 @@
 """Follows a table of the platform's store.
 
 The whole table is read once; after that, long polls return the changes in order. The
-table is read again when the store has discarded the history that the next poll needs.
+table is read again when the store has discarded the history that the next poll needs,
+and when the store has come back from a copy, which begins a new era: versions are only
+comparable within an era.
 """
 
 import random
@@ -59,9 +61,13 @@
         :raises ApricotliftError: ``table_unavailable``.
         """
 
-    async def wait_for_changes(self, table: str, after: int, wait_s: float) -> RowSet:
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float, era: int = 0
+    ) -> RowSet:
         """Return the rows that changed after a version, or none after the wait.
 
+        :param era: era that the version belongs to, 0 if unknown. If a newer one is
+            known, the result is the whole table at once.
         :raises ApricotliftError: ``history_lost`` or ``table_unavailable``.
         """
 
@@ -96,6 +102,9 @@
         self._poll_s = poll_s
         self.is_loaded = False
         self.version = 0
+        self.era = 0
+        self._newest_era = 0
+        self._poll_scope: anyio.CancelScope | None = None
         self._must_load = True
         self._source = source
         self._apply = apply
@@ -139,7 +148,7 @@
             try:
                 if self._must_load:
                     await self._load()
-                while True:
+                while not self._must_load:
                     await self._poll()
                     pause_s = _RETRY_PAUSE_MIN_S
             except ApricotliftError as error:
@@ -152,31 +161,60 @@
                 await anyio.sleep(pause_s * random.uniform(0.7, 1.3))
                 pause_s = min(_RETRY_PAUSE_MAX_S, pause_s * 2)
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether the rows are of an earlier era than the store."""
+        return self.era < self._newest_era
+
+    def note_era(self, era: int) -> None:
+        """Read the table again, because the store is in a new era."""
+        if era <= self._newest_era:
+            return
+        self._newest_era = era
+        self._recovered_at = self._clock()
+        if self._poll_scope is not None:
+            self._poll_scope.cancel()
+
     async def refresh(self) -> None:
         """Read the table now, for a decision that must not use outdated rows.
 
         :raises ApricotliftError: ``table_unavailable``.
         """
         rows = await self._source.read_table(self.table)
-        if rows.version >= self.version:
+        if self.is_loaded and rows.era > self.era:
+            self._take_whole_table(rows)
+        elif not self.is_loaded or (
+            rows.era == self.era and rows.version >= self.version
+        ):
             self._unchanged_until = self._certain_until
             self._pass_on(rows, True)
 
     async def _load(self) -> None:
         asked_at = self._clock()
         rows = await self._source.read_table(self.table)
+        if rows.era < max(self.era, self._newest_era):
+            message = f"rows of {self.table} are of era {rows.era}, which has ended"
+            raise ApricotliftError(Code.TABLE_UNAVAILABLE, message)
         self._note_success()
         self._note_certain(asked_at)
-        self.version = rows.version
-        self._pass_on(rows, True)
+        self._take_whole_table(rows)
         self.is_loaded = True
         self._must_load = False
 
     async def _poll(self) -> None:
         asked_at = self._clock()
-        rows = await self._source.wait_for_changes(
-            self.table, self.version, self._poll_s
-        )
+        era = self.era
+        rows = None
+        with anyio.CancelScope() as self._poll_scope:
+            rows = await self._source.wait_for_changes(
+                self.table, self.version, self._poll_s, era
+            )
+        if rows is None or rows.era < self.era:
+            # A new era was seen meanwhile.
+            return
+        if rows.era != era and not rows.is_full_table:
+            self._must_load = True
+            return
         self._note_success(rows.age_s)
         if rows.wait_s is None:
             self._note_certain(self._clock() - rows.age_s)
@@ -184,10 +222,32 @@
             self._note_certain(asked_at)
         else:
             self._note_certain(min(self._clock(), asked_at + rows.wait_s))
+        if rows.era != self.era:
+            self._take_whole_table(rows)
+            return
         self.version = max(self.version, rows.version)
         if rows.rows or rows.is_full_table:
             self._pass_on(rows, rows.is_full_table)
 
+    def _take_whole_table(self, rows: RowSet) -> None:
+        """Take a whole table as the new position."""
+        if self.is_loaded and rows.era != self.era:
+            if rows.era > self._newest_era:
+                self._recovered_at = self._clock()
+            self._metrics.count("feed_restored_total", table=self.table)
+            logs.log(
+                logs.INFO,
+                "table_read_again",
+                table=self.table,
+                era=rows.era,
+                previous=self.era,
+                n_rows=len(rows.rows),
+            )
+        self._newest_era = max(self._newest_era, rows.era)
+        self.era = rows.era
+        self.version = rows.version
+        self._pass_on(rows, True)
+
     def _pass_on(self, rows: RowSet, is_full_table: bool) -> None:
         self._apply(rows, is_full_table)
         if self.copy is not None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -92,6 +92,7 @@
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
         relay = Relay(store, settings.bounds.configuration_ms / 1000, metrics)
+        store.watch_era(relay.note_era)
         routing_state = RoutingState(dialect, relay, metrics)
         relay.register(routing_state.operator_feed)
         relay.register(routing_state.servers_feed)
@@ -416,6 +417,9 @@
 class StorePort(RowSource):
     """The client of the platform's store."""
 
+    def watch_era(self, callback: Callable[[int], None]) -> None:
+        """Have the callback called with each new era of the store."""
+
     def open_table(self, name: str):
         """Return a table with the interface of ``platform.table.Table``."""
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -118,6 +118,19 @@
         feed.copy = self._copies[feed.table] = TableCopy()
         self._feeds[feed.table] = feed
 
+    def note_era(self, era: int) -> None:
+        """Have all tables read again, because the store is in a new era."""
+        self.metrics.count("store_restored_total")
+        logs.log(
+            logs.WARNING,
+            "store_restored",
+            era=era,
+            previous=max((feed.era for feed in self._feeds.values()), default=0),
+            tables=sorted(self._feeds),
+        )
+        for feed in self._feeds.values():
+            feed.note_era(era)
+
     async def read_table(self, table: str) -> RowSet:
         """Return all rows, always from the store.
 
@@ -127,17 +140,21 @@
         self._note_source(table, is_relayed=False, reason="read")
         return rows
 
-    async def wait_for_changes(self, table: str, after: int, wait_s: float) -> RowSet:
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float, era: int = 0
+    ) -> RowSet:
         """Return the rows that changed after a version, or none after the wait.
 
+        :param era: era that the version belongs to, 0 if unknown. If a newer one is
+            known, the result is the whole table at once.
         :raises ApricotliftError: ``history_lost`` or ``table_unavailable``.
         """
         state = self._get_state(table)
         if self.clock() < state.paused_until:
             await self.sleep(state.paused_until - self.clock())
-        rows, reason = await self._wait_at_readers(table, after, wait_s)
+        rows, reason = await self._wait_at_readers(table, after, wait_s, era)
         if rows is None:
-            rows = await self._wait_at_store(table, after, wait_s)
+            rows = await self._wait_at_store(table, after, wait_s, era)
         self._note_source(table, reason == "", reason)
         if rows.rows and (reason == "" or self._has_followers(table)):
             state.paused_until = self.clock() + _CHANGE_PAUSE_S
@@ -193,7 +210,7 @@
         return sorted(ranked, key=lambda name: domains[name] != own_domain)
 
     async def _wait_at_readers(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: int, wait_s: float, era: int
     ) -> tuple[RowSet | None, str]:
         """Ask the readers in turn.
 
@@ -206,7 +223,7 @@
                 continue
             asked_at = self.clock()
             try:
-                return await self._ask_reader(name, table, after, wait_s), ""
+                return await self._ask_reader(name, table, after, wait_s, era), ""
             except ApricotliftError as error:
                 reason = str(error.code)
                 self.metrics.count("relay_failures_total", table=table, reason=reason)
@@ -217,7 +234,7 @@
         return None, reason
 
     async def _ask_reader(
-        self, name: str, table: str, after: int, wait_s: float
+        self, name: str, table: str, after: int, wait_s: float, era: int
     ) -> RowSet:
         address = self.peers.get_address(name)
         if address is None:
@@ -243,9 +260,11 @@
             StoredRow(row.key, None if row.is_deleted else row.value, row.version)
             for row in reply.rows
         )
-        return RowSet(rows, reply.version, reply.is_full_table, age_s)
+        return RowSet(rows, reply.version, reply.is_full_table, age_s, era=era)
 
-    async def _wait_at_store(self, table: str, after: int, wait_s: float) -> RowSet:
+    async def _wait_at_store(
+        self, table: str, after: int, wait_s: float, era: int
+    ) -> RowSet:
         state = self._get_state(table)
         if (
             self.list_readers()
@@ -254,7 +273,7 @@
             raise _build_error("neither a reader nor the store has answered")
         if self._has_followers(table):
             wait_s = min(wait_s, _READER_POLL_SHARE * self._compute_pace_s(wait_s))
-        call = self.store.wait_for_changes(table, after, wait_s)
+        call = self.store.wait_for_changes(table, after, wait_s, era)
         return replace(await self._call_store(table, call), wait_s=wait_s)
 
     async def _call_store(self, table: str, call: Awaitable[RowSet]) -> RowSet:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
@@ -75,7 +75,7 @@
         await self.store.check(self.name)
         return RowSet(tuple(self.store.rows.values()), self.store.version)
 
-    async def wait_for_changes(self, table, after, wait_s):
+    async def wait_for_changes(self, table, after, wait_s, era=0):
         return await self.store.wait(self.name, after, wait_s)
 
 
@@ -349,7 +349,7 @@
         relay.clock = lambda: clocks.monotonic() + world.delayed_s
         reader = relay.list_readers()[0]
         try:
-            await relay._ask_reader(reader, TABLE, 10_000, 2.2)
+            await relay._ask_reader(reader, TABLE, 10_000, 2.2, 0)
         except ApricotliftError as error:
             context.error = error
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/routingstate_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/routingstate_steps.py
@@ -147,7 +147,7 @@
         rows = [StoredRow(key, b"", version) for key, version in self.rows.items()]
         return RowSet(tuple(rows), self.version)
 
-    async def wait_for_changes(self, table, after, wait_s):
+    async def wait_for_changes(self, table, after, wait_s, era=0):
         for _ in range(20):
             self._check()
             if after < self.kept_from:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightlimits_steps.py
@@ -230,7 +230,7 @@
     ]
 
     class Source:
-        async def wait_for_changes(self, table, after, wait_s):
+        async def wait_for_changes(self, table, after, wait_s, era=0):
             delay_s, rows = answers.pop(0)
             context.clock.now += delay_s
             return replace(rows, wait_s=wait_s)
