Compare followers' positions with a reader's copy within an era

A reader's copy went on over a restore of the store: versions that its followers had were given out again, and the rows written under them never reached the followers. A reader that hadn't seen the restore also confirmed its old rows to followers that had.

A copy begins again in a new era, and a follower whose position is of another era gets the whole table. Requests state the follower's newest era and replies the reader's; whichever is behind learns of it and reads its tables again. A reader that has yet to do so refuses, and its rows aren't used.

In a rolling restart, a node of the previous build would end the connection because of a field that it doesn't know. So the era stands in the table's name of a request, which such a node refuses as an unknown table, and replies carry it only to nodes that stated one.

In the step of the pause, the relay is now told the era of its version; what the step checks is unchanged.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -25,7 +25,6 @@
 from apricotlift.forwarding.dialect import Dialect
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.entities import Server
-from apricotlift.forwarding.feeds import RowSource
 from apricotlift.forwarding.listeners import (
     HttpServer,
     bind_listener,
@@ -33,7 +32,7 @@
 )
 from apricotlift.forwarding.peernotes import PeerNotes
 from apricotlift.forwarding.refusals import Refusals
-from apricotlift.forwarding.relays import Peers, Relay
+from apricotlift.forwarding.relays import EraSource, Peers, Relay
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.forwarding.runtime import Runtime
 from apricotlift.forwarding.servers import ServerHandles
@@ -414,7 +413,7 @@
         await node.membership.leave()
 
 
-class StorePort(RowSource):
+class StorePort(EraSource):
     """The client of the platform's store."""
 
     def watch_era(self, callback: Callable[[int], None]) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -16,6 +16,7 @@
 import math
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import anyio
 from apricotlift.core import clocks, logs
@@ -25,7 +26,13 @@
 from apricotlift.forwarding.feeds import POLL_S, Feed, RowSet, RowSource, StoredRow
 from apricotlift.forwarding.tablecopies import TableCopy
 from apricotlift.wire.handshake import Identity
-from apricotlift.wire.messages import Message, RowRecord, RowsReply, RowsRequest
+from apricotlift.wire.messages import (
+    Message,
+    RowRecord,
+    RowsReply,
+    RowsRequest,
+)
+from apricotlift.wire.tablenames import build_table_name, split_table_name
 
 #: Up to this number of nodes, all of them read from the store: readers poll more often
 #: than other nodes, so that fewer followers would save no calls.
@@ -53,6 +60,19 @@
 #: A node that has been asked within this time polls the store as a reader.
 _ASKED_RECENTLY_S = 5.0
 
+
+class EraSource(RowSource, Protocol):
+    """Read access to the tables of the store, with the store's newest era.
+
+    :ivar era: newest era known; 0 until one is.
+    """
+
+    era: int
+
+    def note_era(self, era: int) -> None:
+        """Take an era that a peer has seen for the newest if it is higher."""
+
+
 Request = Callable[[str, Message, float], Awaitable[Message]]
 
 
@@ -94,13 +114,14 @@
 class Relay:
     """Reads tables from the store or from a reader, and answers followers.
 
-    :param store: the client of the store.
+    :param store: the client of the store. It also keeps the newest era that this node
+        or a peer has seen.
     :param apply_limit_s: time within which a configuration has to be in force.
     :param peers: the other nodes; ``None`` until this node has joined them.
     :param sleep: waits for a number of seconds.
     """
 
-    store: RowSource
+    store: EraSource
     apply_limit_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
@@ -164,16 +185,23 @@
         """Answer a follower as soon as there are changes, or at the end of its wait.
 
         :raises ApricotliftError: ``table_unavailable`` if this node doesn't read the
-            table from the store, or has no recent answer from it.
+            table from the store, has no recent answer from it, or hasn't read it in the
+            newest era.
         """
         started_at = self.clock()
-        feed = self._get_current_feed(message.table)
-        self._get_state(message.table).asked_at = started_at
+        table, stated_era = split_table_name(message.table)
+        self._get_current_feed(table)
+        self._get_state(table).asked_at = started_at
+        self.store.note_era(stated_era or 0)
+        copy = self._copies[table]
+        era = copy.era if stated_era is None else stated_era
         with anyio.move_on_after(message.wait_ms / 1000):
-            await self._copies[message.table].wait_beyond(message.after)
-        feed = self._get_current_feed(message.table)
-        rows = self._copies[message.table].collect(message.after)
-        self.metrics.count("rows_relayed_total", len(rows.rows), table=message.table)
+            await copy.wait_beyond(message.after, era)
+        feed = self._get_current_feed(table)
+        if feed.is_outdated:
+            raise _build_error(f"table {table!r} is being read in a new era")
+        rows = copy.collect(message.after, era)
+        self.metrics.count("rows_relayed_total", len(rows.rows), table=table)
         return RowsReply(
             version=feed.version,
             is_full_table=rows.is_full_table,
@@ -183,6 +211,7 @@
                 RowRecord(row.key, row.value or b"", row.version, row.value is None)
                 for row in rows.rows
             ],
+            era=0 if stated_era is None else feed.era,
         )
 
     def list_readers(self) -> list[str]:
@@ -241,10 +270,13 @@
             raise _build_error(f"address of the reader {name} is unknown")
         pace = self._compute_pace_s(wait_s)
         wait_ms = int(_WAIT_SHARE * pace * 1000)
+        if era < self.store.era:
+            # The version is of an earlier era, so the whole table is asked for.
+            era, after = self.store.era, -1
         sent_at = self.clock()
         reply = await self.peers.request(
             address,
-            RowsRequest(table, after, wait_ms),
+            RowsRequest(build_table_name(table, era), after, wait_ms),
             wait_ms / 1000 + _REPLY_MARGIN_S,
         )
         if not isinstance(reply, RowsReply):
@@ -254,13 +286,17 @@
         age_s = self.clock() - sent_at - held_s + reply.age_ms / 1000
         if age_s > _AGE_SHARE_MAX * pace:
             raise _build_error(f"rows of the reader {name} are {age_s:.1f} s old")
-        if reply.is_full_table and reply.version < after:
+        self.store.note_era(reply.era)
+        if reply.era < self.store.era:
+            raise _build_error(f"rows of the reader {name} are of an earlier era")
+        is_comparable = reply.era == era
+        if is_comparable and reply.is_full_table and reply.version < after:
             raise _build_error(f"rows of the reader {name} are older than this node's")
         rows = tuple(
             StoredRow(row.key, None if row.is_deleted else row.value, row.version)
             for row in reply.rows
         )
-        return RowSet(rows, reply.version, reply.is_full_table, age_s, era=era)
+        return RowSet(rows, reply.version, reply.is_full_table, age_s, era=reply.era)
 
     async def _wait_at_store(
         self, table: str, after: int, wait_s: float, era: int
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tablecopies.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tablecopies.py
@@ -16,10 +16,12 @@
 
     :param version: version of the latest change.
     :param known_from: all changes after this version are kept.
+    :param era: era of the store that all versions belong to.
     """
 
     version: int = -1
     known_from: int = -1
+    era: int = 0
     _rows: dict[str, StoredRow] = field(default_factory=dict)
     _changes: deque[StoredRow] = field(default_factory=deque)
     _changed: anyio.Event = field(default_factory=anyio.Event)
@@ -29,6 +31,8 @@
 
         :param is_full_table: whether rows that are missing have been deleted.
         """
+        if rows.era != self.era:
+            self._clear(rows)
         changes = [_set_version(row, rows.version) for row in rows.rows]
         if self.version < 0:
             # Rows that were deleted before the first read are not known.
@@ -41,21 +45,38 @@
         for row in sorted(changes, key=lambda row: row.version):
             self._add_change(row)
         if changes:
-            self._changed.set()
-            self._changed = anyio.Event()
+            self._wake()
 
-    def collect(self, after: int) -> RowSet:
-        """Return the changes after a version, or all rows if not all are kept."""
-        if after < self.known_from:
-            return RowSet(tuple(self._rows.values()), self.version, is_full_table=True)
+    def collect(self, after: int, era: int | None = None) -> RowSet:
+        """Return the changes after a version, or all rows if not all are kept.
+
+        :param era: era that the version belongs to, by default that of the copy. All
+            rows are returned for a version of another era.
+        """
+        is_other_era = era is not None and era != self.era
+        if is_other_era or after < self.known_from:
+            rows = tuple(self._rows.values())
+            return RowSet(rows, self.version, is_full_table=True, era=self.era)
         rows = {row.key: row for row in self._changes if row.version > after}
-        return RowSet(tuple(rows.values()), self.version)
+        return RowSet(tuple(rows.values()), self.version, era=self.era)
 
-    async def wait_beyond(self, version: int) -> None:
-        """Wait until there is a change after a version."""
-        while self.version <= version:
+    async def wait_beyond(self, version: int, era: int) -> None:
+        """Wait until there is a change after a version of an era, or a later era."""
+        while self.era < era or (self.era == era and self.version <= version):
             await self._changed.wait()
 
+    def _clear(self, rows: RowSet) -> None:
+        """Begin again with the whole table of a new era."""
+        self.era = rows.era
+        self._rows.clear()
+        self._changes.clear()
+        self.known_from = self.version = rows.version
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def _is_new(self, row: StoredRow) -> bool:
         known = self._rows.get(row.key)
         return known is None or known.version != row.version
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/relays.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/relays.feature
@@ -85,3 +85,29 @@
     Given 20 nodes that follow a table
     When the replies of the readers wait 30 seconds in a buffer
     Then the followers don't use them
+
+  Scenario: All nodes have the rows of a store that comes back from a copy
+    # Guards against followers that lose changes for good, because versions that they
+    # have seen are given out again.
+    Given 20 nodes that follow a table
+    When the store comes back without the last row, and 4 rows are written before the next polls
+    Then all nodes have these 4 rows and not the lost one
+
+  Scenario: A reader that hasn't seen the new era doesn't serve those that have
+    # Guards against rows that go back because a reader is behind.
+    Given 20 nodes that follow a table
+    When the store comes back without the last row and answers no reader
+    Then a follower that has seen it gets no rows of its reader
+
+  Scenario: A copy begins again in a new era
+    # Guards against versions of two eras in one copy, which hide changes from followers.
+    Given a copy of a table that was read at version 10 with the rows "a, b"
+    When the store comes back from a copy, and the whole table of era 2 is read at version 8 with the rows "b, c"
+    Then a node at version 10 of era 0 is given "b, c" as the whole table
+    And a node at version 7 of era 2 is given "b, c" as the whole table
+
+  Scenario: A node of the previous build is answered in its own terms
+    # Guards against connections that end because of a field that the peer doesn't know.
+    Given 20 nodes that follow a table
+    When a node of a build without eras asks a reader
+    Then the reply has no field that it doesn't know
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
@@ -1,7 +1,8 @@
 """Steps for relays: nodes, their store and their messages."""
 
+from collections.abc import Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 from apricotlift.core import clocks
@@ -10,7 +11,7 @@
 from apricotlift.forwarding.feeds import POLL_S, Feed, RowSet, StoredRow
 from apricotlift.forwarding.relays import Peers, Relay
 from apricotlift.forwarding.tablecopies import TableCopy
-from apricotlift.wire.messages import RowsRequest
+from apricotlift.wire.messages import RowsReply, RowsRequest
 from behave import given, then, when
 
 TIMEOUT_S = 20.0
@@ -35,6 +36,7 @@
     """A table with a version, whose faults differ by node."""
 
     version: int = 1
+    era: int = 1
     rows: dict[str, StoredRow] = field(default_factory=dict)
     faults: dict[str, str] = field(default_factory=dict)
     polling: set[str] = field(default_factory=set)
@@ -46,7 +48,17 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def restore(self, version):
+        """Go back to a version, as a new era, which cuts the open polls."""
+        self.version = version
+        self.era += 1
+        self.rows = {k: row for k, row in self.rows.items() if row.version <= version}
+        self.changed.set()
+        self.changed = anyio.Event()
+
     async def check(self, node):
+        while self.faults.get(node) == "hang":
+            await anyio.sleep(0.01)
         if self.faults.get(node) == "silent":
             await anyio.sleep(0.5)
         if self.faults.get(node):
@@ -55,13 +67,16 @@
     async def wait(self, node, after, wait_s):
         await self.check(node)
         self.polling.add(node)
+        era = self.era
         changes = tuple(row for row in self.rows.values() if row.version > after)
         if not changes:
             with anyio.move_on_after(wait_s):
                 await self.changed.wait()
             await self.check(node)
+            if self.era != era:
+                raise build_error(Code.TABLE_UNAVAILABLE)
         changes = tuple(row for row in self.rows.values() if row.version > after)
-        return RowSet(changes, self.version)
+        return RowSet(changes, self.version, era=self.era)
 
 
 @dataclass
@@ -70,13 +85,28 @@
 
     store: Store
     name: str
+    era: int = 0
+    on_new_era: Callable[[int], None] = lambda era: None
+
+    def note_era(self, era):
+        if era > self.era:
+            is_first = self.era == 0
+            self.era = era
+            if not is_first:
+                self.on_new_era(era)
 
     async def read_table(self, table):
         await self.store.check(self.name)
-        return RowSet(tuple(self.store.rows.values()), self.store.version)
+        self.note_era(self.store.era)
+        rows = tuple(self.store.rows.values())
+        return RowSet(rows, self.store.version, era=self.store.era)
 
     async def wait_for_changes(self, table, after, wait_s, era=0):
-        return await self.store.wait(self.name, after, wait_s)
+        if 0 < era < self.era:
+            return replace(await self.read_table(table), is_full_table=True)
+        rows = await self.store.wait(self.name, after, wait_s)
+        self.note_era(rows.era)
+        return rows
 
 
 @dataclass
@@ -92,7 +122,9 @@
     delayed_s: float = 0.0
 
     def add_node(self, name):
-        relay = Relay(NodeStore(self.store, name), self.apply_limit_s, Metrics())
+        store = NodeStore(self.store, name)
+        relay = Relay(store, self.apply_limit_s, Metrics())
+        store.on_new_era = relay.note_era
         feed = Feed(relay, TABLE, lambda rows, is_full: None, Metrics())
         relay.register(feed)
         self.relays[name] = relay
@@ -293,6 +325,112 @@
     run_nodes(context, check)
 
 
+@when(
+    "the store comes back without the last row, and {n:d} rows are written before the "
+    "next polls"
+)
+def step_restore(context, n):
+    async def restore(world):
+        world.store.write("lost")
+        await wait_until(
+            lambda: all(world.has_row(name, "lost") for name in world.feeds)
+        )
+        world.store.restore(world.store.version - 1)
+        for number in range(n):
+            world.store.write(f"new{number}")
+
+    context.actions.append(restore)
+
+
+@then("all nodes have these {n:d} rows and not the lost one")
+def step_all_have_restored(context, n):
+    keys = {f"new{number}" for number in range(n)}
+
+    async def check(world):
+        with anyio.move_on_after(TIMEOUT_S / 2):
+            await wait_until(
+                lambda: all(list_keys(world, name) == keys for name in world.feeds)
+            )
+        wrong = {
+            name: list_keys(world, name)
+            for name in world.feeds
+            if list_keys(world, name) != keys
+        }
+        assert not wrong, wrong
+
+    run_nodes(context, check)
+
+
+def list_keys(world, name):
+    return {row.key for row in world.relays[name]._copies[TABLE].collect(-1).rows}
+
+
+@when("the store comes back without the last row and answers no reader")
+def step_restore_silently(context):
+    async def restore(world):
+        world.store.write("lost")
+        await wait_until(
+            lambda: all(world.has_row(name, "lost") for name in world.feeds)
+        )
+        world.store.faults = dict.fromkeys(world.list_readers(), "hang")
+        world.store.restore(world.store.version - 1)
+        world.store.write("new0")
+
+    context.actions.append(restore)
+
+
+@then("a follower that has seen it gets no rows of its reader")
+def step_no_rows_of_reader(context):
+    async def ask(world):
+        relay = world.relays[world.list_followers()[0]]
+        version, era = world.store.version, world.store.era
+        reader = relay.list_readers()[0]
+        try:
+            context.rows = await relay._ask_reader(reader, TABLE, version, POLL_S, era)
+        except ApricotliftError as error:
+            context.error = error
+
+    context.rows = context.error = None
+    run_nodes(context, ask, LONG_APPLY_LIMIT_S)
+    assert context.error is not None, context.rows
+    assert context.error.code is Code.TABLE_UNAVAILABLE, context.error
+
+
+@when("a node of a build without eras asks a reader")
+def step_ask_without_era(context):
+    async def ask(world):
+        relay = world.relays[world.list_readers()[0]]
+        context.reply = await relay.handle_rows(RowsRequest(TABLE, -1, 0), None)
+
+    run_nodes(context, ask)
+
+
+@then("the reply has no field that it doesn't know")
+def step_known_fields(context):
+    known = {"version", "is_full_table", "age_ms", "held_ms", "rows"}
+    body = context.reply.to_map()
+    assert set(body) == known, set(body)
+    assert RowsReply.from_map(body).era == 0
+
+
+@when(
+    "the store comes back from a copy, and the whole table of era {era:d} is read at "
+    'version {version:d} with the rows "{rows}"'
+)
+def step_read_new_era(context, era, version, rows):
+    read = RowSet(build_rows(rows, 5), version, era=era)
+    context.copy.apply(read, True)
+
+
+@then(
+    'a node at version {version:d} of era {era:d} is given "{wanted}" as the whole table'
+)
+def step_given_of_era(context, version, era, wanted):
+    rows = context.copy.collect(version, era)
+    assert {row.key for row in rows.rows} == set(wanted.split(", ")), rows
+    assert rows.is_full_table, rows
+
+
 @when("a follower is asked for rows")
 def step_ask_follower(context):
     async def ask(world):
@@ -325,10 +463,10 @@
         store = NodeStore(world.store, name)
         relay = Relay(store, APPLY_LIMIT_S, Metrics(), sleep=record_pause)
         relay.peers = world.relays[name].peers
-        rows = await relay.wait_for_changes(TABLE, version, POLL_S)
+        rows = await relay.wait_for_changes(TABLE, version, POLL_S, world.store.era)
         assert [row.key for row in rows.rows] == ["new"], rows
         context.first_pauses = list(pauses)
-        await relay.wait_for_changes(TABLE, rows.version, POLL_S)
+        await relay.wait_for_changes(TABLE, rows.version, POLL_S, rows.era)
         context.pauses = pauses
 
     run_nodes(context, poll)
--- a/packages/apricotlift-wire/src/apricotlift/wire/messages.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/messages.py
@@ -5,11 +5,11 @@
 by the sender, so an age is never understated. Digests are sent as bytes.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import ClassVar
 
 from apricotlift.core.errors import ApricotliftError, Code
-from apricotlift.wire.schema import Record, Scalar
+from apricotlift.wire.schema import OMITTED_DEFAULT, Record, Scalar
 
 #: Protocol version. A node accepts only peers with the same version.
 PROTOCOL = 1
@@ -415,6 +415,7 @@
 class RowsRequest(Message):
     """Asks a node that reads a table from the platform's store for its changes.
 
+    :param table: the table's name; see :mod:`.tablenames`.
     :param after: version up to which the sender has the table; negative for none of it.
     :param wait_ms: how long the receiver waits for a change before it replies.
     """
@@ -442,6 +443,7 @@
     :param version: version up to which the rows are complete.
     :param age_ms: time since the store last answered the sender, rounded up.
     :param held_ms: time for which the sender held the request, rounded down.
+    :param era: era of the store for the version, 0 if the request states none.
     """
 
     kind: ClassVar[str] = "rows_reply"
@@ -450,6 +452,7 @@
     age_ms: int
     held_ms: int
     rows: list[RowRecord]
+    era: int = field(default=0, metadata=OMITTED_DEFAULT)
 
 
 MESSAGES: dict[str, type[Message]] = {
--- a/packages/apricotlift-wire/src/apricotlift/wire/schema.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/schema.py
@@ -2,7 +2,9 @@
 
 A message class declares its fields with the types that :func:`build_decoder` knows.
 Decoding rejects missing keys, unknown keys and values of another type, so message
-handlers only receive values that the class declares.
+handlers only receive values that the class declares. A field with the metadata
+:data:`OMITTED_DEFAULT` may be missing, and is left out while it has its default value:
+nodes of a build without the field reject it.
 """
 
 import dataclasses
@@ -17,10 +19,14 @@
 #: in implementations in other languages.
 MAX_INTEGER = (1 << 63) - 1
 
+#: Metadata of a field that is left out of the body map while it has its default value.
+OMITTED_DEFAULT = {"is_default_omitted": True}
+
 Scalar = str | int | float | bytes | bool
 Decoder = Callable[[Any, str], Any]
 
 _decoders: dict[type, dict[str, Decoder]] = {}
+_omitted_defaults: dict[type, dict[str, Any]] = {}
 
 
 class Record:
@@ -28,10 +34,14 @@
 
     def to_map(self) -> dict[str, Any]:
         """Return the body map of this record."""
-        return {
+        body = {
             name: _encode_value(getattr(self, name))
             for name in get_decoders(type(self))
         }
+        for name, default in get_omitted_defaults(type(self)).items():
+            if body[name] == default:
+                del body[name]
+        return body
 
     @classmethod
     def from_map(cls, body: object) -> Self:
@@ -42,11 +52,18 @@
         decoders = get_decoders(cls)
         if not isinstance(body, Mapping):
             raise build_type_error(cls.__name__, body, "a map")
+        omitted = {
+            name: default
+            for name, default in get_omitted_defaults(cls).items()
+            if name not in body
+        }
         # Looking values up with ``get`` would accept a missing key, and comparing key
         # sets fails on keys that have no order. So each declared key is looked up and
         # the sizes are compared.
-        missing = [name for name in decoders if name not in body]
-        if missing or len(body) != len(decoders):
+        missing = [
+            name for name in decoders if name not in body and name not in omitted
+        ]
+        if missing or len(body) != len(decoders) - len(omitted):
             unknown = [str(key)[:40] for key in body if key not in decoders]
             raise ApricotliftError(
                 Code.PEER_PROTOCOL,
@@ -55,10 +72,24 @@
         values = {
             name: decode(body[name], f"{cls.__name__}.{name}")
             for name, decode in decoders.items()
+            if name not in omitted
         }
         return cls(**values)
 
 
+def get_omitted_defaults(cls: type) -> dict[str, Any]:
+    """Return the default of each field that may be missing from a body map."""
+    defaults = _omitted_defaults.get(cls)
+    if defaults is None:
+        defaults = {
+            field.name: field.default
+            for field in dataclasses.fields(cls)
+            if field.metadata.get("is_default_omitted")
+        }
+        _omitted_defaults[cls] = defaults
+    return defaults
+
+
 def get_decoders(cls: type) -> dict[str, Decoder]:
     """Return the decoder of each field of a data class.
 
