Don't take restored entries of servers for what the servers say now

After a restore of the store, an entry that was some seconds old replaced what a node knew: a server that drains was used again, one that had left came back, and an engine's entry showed weights that it had replaced, so that it was ordered to load the named ones once more.

Each entry has a number that rises with the server's writes. A row that may stem from the copy now counts only if its number is higher than what the node knows of that incarnation, gone ones included; a row that is written in the new era always counts. What the restored table lacks is kept for the time of lapsed entries, counted from the first sight of the new era.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
@@ -156,6 +156,8 @@
     :param started_ms: time of its start in Unix milliseconds; another start may use the
         same id.
     :param weights: loaded weight version by model.
+    :param write_number: rises with each write of the entry by this incarnation; a write
+        that changes nothing else doesn't make another server.
     """
 
     server_id: str
@@ -166,6 +168,7 @@
     n_slots: int = 1
     started_ms: int = 0
     weights: dict[str, int] = field(default_factory=dict)
+    write_number: int = field(default=0, compare=False)
 
     @property
     def incarnation(self) -> tuple[str, int, str]:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -17,7 +17,8 @@
     Server,
     ServerState,
 )
-from apricotlift.forwarding.feeds import Feed, RowSet, RowSource
+from apricotlift.forwarding.feeds import Feed, RowSet, RowSource, StoredRow
+from apricotlift.forwarding.restoredentries import RestoredEntries
 from apricotlift.forwarding.weighttargets import NamedWeights, WeightTargets
 
 #: Time for which lapsed entries are kept once the store is available again. Servers
@@ -43,6 +44,7 @@
     servers: dict[str, Server] = field(default_factory=dict)
     operator_feed: Feed = field(init=False)
     servers_feed: Feed = field(init=False)
+    _restored_entries: RestoredEntries = field(default_factory=RestoredEntries)
     _removal_due_at: dict[str, float] = field(default_factory=dict)
     _serving_by_service: dict[str, list[Server]] | None = None
     _routes_by_host: dict[str, list[Route]] = field(default_factory=dict)
@@ -191,24 +193,38 @@
         )
 
     def _apply_servers(self, rows: RowSet, is_full_table: bool) -> None:
-        seen = set()
+        self._restored_entries.note_rows(rows, is_full_table)
         for row in rows.rows:
-            server = None
-            if row.value is not None:
-                server = self._decode_server(row.key, row.value)
-            if server is not None:
-                seen.add(row.key)
-                self._update_server(server)
-            elif row.value is not None:
-                self._remove_server(row.key, "unreadable_entry")
-            else:
+            if row.value is None:
                 self._schedule_removal(row.key)
+            else:
+                is_restored = self._restored_entries.is_restored(row, is_full_table)
+                self._apply_entry(row, is_restored)
         if is_full_table:
+            listed = {row.key for row in rows.rows}
             for server_id in list(self.servers):
-                if server_id not in seen:
+                if server_id not in listed:
                     self._schedule_removal(server_id)
         self._serving_by_service = None
 
+    def _apply_entry(self, row: StoredRow, is_restored: bool) -> None:
+        server = self._decode_server(row.key, row.value)
+        known = self.servers.get(row.key)
+        if server is None:
+            if is_restored:
+                self._schedule_removal(row.key)
+            else:
+                self._remove_server(row.key, "unreadable_entry")
+        elif is_restored and self._restored_entries.is_superseded(server, known):
+            is_same = known is not None and known.incarnation == server.incarnation
+            if is_same:
+                self._removal_due_at.pop(row.key, None)
+            elif known is not None:
+                self._schedule_removal(row.key)
+            self.metrics.count("restored_entries_ignored_total")
+        else:
+            self._update_server(server)
+
     def _decode_server(self, key: str, value: bytes) -> Server | None:
         try:
             return self.dialect.decode_server(key, value)
@@ -222,7 +238,11 @@
     def _update_server(self, server: Server) -> None:
         known = self.servers.get(server.server_id)
         self._removal_due_at.pop(server.server_id, None)
+        if known is not None and known.incarnation != server.incarnation:
+            self._restored_entries.note_left(known)
         if known == server:
+            # Only the write number differs.
+            self.servers[server.server_id] = server
             return
         self.servers[server.server_id] = server
         logs.log(
@@ -255,7 +275,10 @@
     def _remove_server(self, server_id: str, reason: str) -> None:
         self._removal_due_at.pop(server_id, None)
         self._serving_by_service = None
-        if self.servers.pop(server_id, None) is not None:
+        server = self.servers.pop(server_id, None)
+        if server is not None:
+            if reason != "unreadable_entry":
+                self._restored_entries.note_left(server)
             logs.log(logs.INFO, "server_dropped", server=server_id, reason=reason)
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -137,7 +137,9 @@
         data.get("address", f"10.0.0.{len(key)}:80"),
         data.get("domain", "z1"),
         state,
+        started_ms=data.get("started", 0),
         weights=data.get("weights", {}),
+        write_number=data.get("writes", 0),
     )
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/restoredstore_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/restoredstore_steps.py
@@ -6,6 +6,12 @@
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.feeds import Feed, RowSet, StoredRow
+from apricotlift.forwarding.routingstate import RoutingState
+from apricotlift.forwarding.tests.forwarding_fakes import (
+    Clock,
+    build_dialect,
+    build_row,
+)
 from behave import given, then, when
 
 TIMEOUT_S = 10.0
@@ -168,3 +174,143 @@
 def step_position(context, version, era):
     feed = context.followed.feed
     assert (feed.version, feed.era) == (version, era), (feed.version, feed.era)
+
+
+#: Versions of the store before the restore, in the copy, and after the restore.
+_SEEN_VERSION = 90
+_COPY_VERSION = 50
+_LATER_VERSION = 60
+
+
+def build_state(context):
+    context.clock = Clock()
+    context.state = RoutingState(build_dialect(), None, Metrics(), context.clock)
+    for feed in (context.state.operator_feed, context.state.servers_feed):
+        feed.is_loaded = True
+        feed.era = 1
+
+
+def see_new_era(context):
+    context.clock.now += 5.0
+    for feed in (context.state.operator_feed, context.state.servers_feed):
+        feed.note_era(2)
+
+
+def apply_configuration(context, version, route, row_version, era, is_full):
+    value = {"version": version, "routes": [route.split(":")]}
+    row = build_row("config", value, row_version)
+    rows = RowSet((row,), row_version, is_full, era=era)
+    context.state._apply_operator(rows, is_full)
+
+
+def apply_servers(context, entries, version, era, is_full):
+    rows = tuple(build_row(name, entry, version) for name, entry in entries.items())
+    context.state._apply_servers(RowSet(rows, version, is_full, era=era), is_full)
+
+
+def build_entry(n_writes, **changes):
+    entry = {"service": "svc", "weights": {"m": 1}, "writes": n_writes, "started": 7}
+    return {**entry, **changes}
+
+
+def build_entries(names, n_writes):
+    return {name: build_entry(n_writes) for name in names.split(", ")}
+
+
+@given('a node with configuration {version:d} and the route "{route}"')
+def step_node_with_configuration(context, version, route):
+    build_state(context)
+    apply_configuration(context, version, route, _SEEN_VERSION, 1, True)
+
+
+@when('the store comes back with configuration {version:d} and the route "{route}"')
+def step_restored_configuration(context, version, route):
+    see_new_era(context)
+    apply_configuration(context, version, route, _COPY_VERSION, 2, True)
+
+
+@when('the operator writes configuration {version:d} with the route "{route}"')
+def step_written_configuration(context, version, route):
+    apply_configuration(context, version, route, _LATER_VERSION, 2, False)
+
+
+@then('configuration {version:d} with the route "{route}" is in force')
+def step_configuration_in_force(context, version, route):
+    configuration = context.state.configuration
+    found = [f"{route.host}:{route.prefix}" for route in configuration.routes]
+    assert (configuration.version, found) == (version, [route]), configuration
+
+
+@given('a node with the servers "{names}" at write number {n_writes:d}')
+def step_node_with_servers(context, names, n_writes):
+    build_state(context)
+    apply_servers(context, build_entries(names, n_writes), _SEEN_VERSION, 1, True)
+
+
+@given('the entry of "{name}" reports draining')
+def step_entry_drains(context, name):
+    entry = build_entry(5, state="draining")
+    apply_servers(context, {name: entry}, _SEEN_VERSION + 1, 1, False)
+
+
+@given('the entry of "{name}" is removed')
+def step_entry_removed(context, name):
+    apply_servers(context, {name: None}, _SEEN_VERSION + 1, 1, False)
+
+
+@given('the entry of "{name}" is that of another start')
+def step_entry_replaced(context, name):
+    entry = build_entry(1, started=8, state="draining")
+    apply_servers(context, {name: entry}, _SEEN_VERSION + 1, 1, False)
+
+
+@given("the operator names weight version {version:d}, which all have loaded")
+def step_weights_loaded(context, version):
+    context.state._apply_weights("m", version)
+    entries = {
+        name: build_entry(5, weights={"m": version}) for name in context.state.servers
+    }
+    apply_servers(context, entries, _SEEN_VERSION + 1, 1, False)
+
+
+@when('the store comes back with the entries of "{names}" at write number {n_writes:d}')
+def step_restored_entries(context, names, n_writes):
+    see_new_era(context)
+    context.restored = build_entries(names, n_writes)
+    apply_servers(context, context.restored, _COPY_VERSION, 2, True)
+
+
+@when('the entry of "{name}" is written at write number {n_writes:d}')
+def step_entry_written_again(context, name, n_writes):
+    entries = {name: build_entry(n_writes)}
+    apply_servers(context, entries, _LATER_VERSION, 2, False)
+
+
+@when(
+    'the whole table is read again after the entry of "{name}" was written at write '
+    "number {n_writes:d}"
+)
+def step_whole_table_again(context, name, n_writes):
+    rows = [build_row(key, row, _COPY_VERSION) for key, row in context.restored.items()]
+    rows = [row for row in rows if row.key != name]
+    rows.append(build_row(name, build_entry(n_writes), _LATER_VERSION))
+    read = RowSet(tuple(rows), _LATER_VERSION, True, era=2)
+    context.state._apply_servers(read, True)
+
+
+@then('the node uses the servers "{names}"')
+def step_uses(context, names):
+    found = [server.server_id for server in context.state.list_servers("svc")]
+    assert sorted(found) == names.split(", "), found
+
+
+@then('{seconds:d} seconds later it uses "{names}"')
+def step_uses_later(context, seconds, names):
+    context.clock.now += seconds
+    step_uses(context, names)
+
+
+@then("the node orders no engine to load weights")
+def step_none_outdated(context):
+    found = context.state.list_outdated_engines()
+    assert not found, found
