Apply a configuration whose number was lost and given out again

After a restore, the operator may write a configuration with a number that nodes know from before, for another content. Nodes ignored it for good, since its number wasn't higher; a node that started later applied it.

With equal numbers, the row that was written later holds, by era and version. Lower numbers are ignored as before.

On the code as it was, the scenario "A restored or repeated configuration" with the number 7 failed: the route /a/ of the lost configuration 7 was in force instead of /b/.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -44,6 +44,7 @@
     servers: dict[str, Server] = field(default_factory=dict)
     operator_feed: Feed = field(init=False)
     servers_feed: Feed = field(init=False)
+    _configuration_row: tuple[int, int] = (0, 0)
     _restored_entries: RestoredEntries = field(default_factory=RestoredEntries)
     _removal_due_at: dict[str, float] = field(default_factory=dict)
     _serving_by_service: dict[str, list[Server]] | None = None
@@ -125,14 +126,26 @@
             key=lambda item: (item[0].weights[item[1]], item[0].server_id),
         )
 
-    def apply_configuration(self, configuration: Configuration) -> bool:
+    def apply_configuration(
+        self, configuration: Configuration, row: tuple[int, int] = (0, 0)
+    ) -> bool:
         """Apply a configuration if it is newer than the one in force.
 
+        A version that is given out again after the store lost it may have another
+        content; the later write holds.
+
+        :param row: era and version of the row that contains it.
         :returns: whether it was applied.
         """
         current = self.configuration
-        if current is not None and configuration.version <= current.version:
-            return False
+        if current is not None:
+            if configuration.version < current.version:
+                return False
+            if configuration.version == current.version:
+                is_later = row > self._configuration_row
+                if not is_later or configuration == current:
+                    return False
+        self._configuration_row = row
         self.configuration = configuration
         self.configured_at = self.clock()
         routes: dict[str, list[Route]] = {}
@@ -167,7 +180,9 @@
             if instruction is None:
                 continue
             if instruction.configuration is not None:
-                self.apply_configuration(instruction.configuration)
+                self.apply_configuration(
+                    instruction.configuration, (rows.era, row.version)
+                )
             if instruction.weights is not None:
                 self._apply_weights(
                     instruction.weights.model,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/restoredstore.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/restoredstore.feature
@@ -39,6 +39,7 @@
     Examples:
       | restored | written | wanted | route |
       | 5        | 6       | 7      | h:/a/ |
+      | 5        | 7       | 7      | h:/b/ |
       | 5        | 8       | 8      | h:/b/ |
 
   # Guards against requests to a server that drains or has left, because a restored
