--- a/packages/apricotlift-control/src/apricotlift/control/tracing.py
+++ b/packages/apricotlift-control/src/apricotlift/control/tracing.py
@@ -31,6 +31,8 @@
     {
         "store_lost",
         "store_regained",
+        "store_restored",
+        "table_read_again",
         "feed_history_lost",
         "configuration_applied",
         "weights_named",
