Close connections that hold bytes after a response

What callers saw: a server sent the refusal of one request together with the response to another, and the next request on that connection got it as its own, as "did not run" or, for a service's response, as it was.

Cause: the connection pools of the node package left the bytes that the parser held after the end of a response on the connection. Both kinds of connections missed bytes that anyio had received but not handed out yet: it receives up to 262,144 bytes at once, and a read took at most 65,536 of them. If a response ended at a multiple of 65,536 bytes, what followed was in neither the parser nor the socket, where the existing checks look.

Change: a bounded stream takes all that was received and counts as readable while it holds some of it; httpcore and the persistent connections close idle connections that are readable. The pool marks a connection whose parser holds bytes after a response.

Ruled out: bytes that arrive later, before the next request, are seen in the socket.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/boundedstreams.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/boundedstreams.py
@@ -17,6 +17,9 @@
 #: Largest excess of the bytes on the wire over the payload of a body and as much again.
 #: It covers one read of httpcore, whose chunks have not all been handed on yet.
 MAX_FRAMING_BYTES = 131_072
+#: At most this much arrives at once. A read of less would leave bytes in the buffer of
+#: anyio, which doesn't tell whether it holds any.
+_READ_BYTES = 262_144
 
 
 class ResponseTooLargeError(httpcore.RemoteProtocolError):
@@ -27,13 +30,17 @@
     """Limits the bytes that are read for the head and the framing of each response.
 
     :param has_ended: whether the peer has closed its side of the connection.
+    :param has_extra_bytes: whether the peer has sent more than its response, so that
+        the connection can't be used again.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream):
         self._stream = stream
         self._is_head = True
         self._n_read = 0
+        self._unread = b""
         self.has_ended = False
+        self.has_extra_bytes = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read from the connection.
@@ -47,7 +54,8 @@
                 raise ResponseTooLargeError(
                     f"response headers exceed {MAX_HEAD_BYTES} bytes"
                 )
-        data = await self._stream.read(max_bytes, timeout)
+        received = self._unread or await self._stream.read(_READ_BYTES, timeout)
+        data, self._unread = received[:max_bytes], received[max_bytes:]
         self._n_read += len(data)
         if not data:
             self.has_ended = True
@@ -95,7 +103,12 @@
         )
 
     def get_extra_info(self, info: str) -> Any:
-        """Return a property of the connection that httpcore asks for."""
+        """Return a property of the connection that httpcore asks for.
+
+        An idle connection that is readable is closed instead of being used again.
+        """
+        if info == "is_readable" and (self._unread or self.has_extra_bytes):
+            return True
         return self._stream.get_extra_info(info)
 
 
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/pool.py
@@ -206,6 +206,11 @@
 
 
 async def _close(raw: httpcore.Response) -> None:
+    # Data after the end of the response belongs to no request. httpcore would read it
+    # as the response to the next request on this connection.
+    trailing_data, _ = raw.stream._stream._connection._h11_state.trailing_data
+    if trailing_data:
+        raw.extensions["network_stream"].has_extra_bytes = True
     with suppress(*TRANSPORT_ERRORS):
         await raw.aclose()
 
