Treat an engine's refusal without an attempt id as uncertain

What callers saw: "not run" for a prompt that an engine was running, or a second engine running it, when the refusal of an earlier attempt was written once more on the connection without an attempt id.

Cause: the client compared the id of a refusal only if there was one. Engines echo the id in all responses to a prompt (docs/design.md, section 6).

Change: a refusal that says "not run" counts only with the id of the attempt; without it the attempt failed with upstream_protocol, ran maybe, and the node asks the same engine for the stream before it tries another one. Refusals that state something else, as that a stream is unknown, are taken as before.

The two new rows of engine.feature failed before with upstream_draining and upstream_full, ran no.

--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/engine.py
@@ -330,7 +330,13 @@
         if echoed != attempt_id and not (is_refusal and echoed is None):
             raise self._build_foreign_error("attempt")
         if is_refusal:
-            raise await _decode_refusal(response, self.name)
+            refusal = await _decode_refusal(response, self.name)
+            if echoed is None and refusal.ran is Ran.NO:
+                message = f"{refusal.message}, without the id of the attempt"
+                raise ApricotliftError(
+                    Code.UPSTREAM_PROTOCOL, message, Ran.MAYBE, Scope.UPSTREAM
+                )
+            raise refusal
         return EngineStream(
             attempt_id,
             headers.get("x-boot-id", ""),
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/engine.feature
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/engine.feature
@@ -16,6 +16,19 @@
     When the prompt "north" runs
     Then it fails with foreign_attempt, ran maybe
 
+  Scenario Outline: A refusal without an attempt id may belong to another attempt
+    # Guards against reporting "not run" for a request that ran, because a refusal without
+    # an id arrived in its place.
+    Given an engine
+    And the engine has the faults {"refusals_without_id": true, "state": "<state>"}
+    When the prompt "north" runs
+    Then it fails with upstream_protocol, ran maybe
+
+    Examples:
+      | state    |
+      | draining |
+      | full     |
+
   Scenario Outline: A refusal of the attempt itself is reported as not run
     # Guards against missing retries of requests that certainly did not run.
     Given an engine
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -227,6 +227,8 @@
     attempt_id = data["request_id"]
     faults = engine.faults
     refusal = _find_refusal(engine, slot, attempt_id)
+    if refusal is not None and faults.refusals_without_id:
+        return refusal
     if refusal is not None:
         is_foreign = faults.foreign_headers
         refusal.headers["x-attempt-id"] = (
--- a/standins/enginefaults.py
+++ b/standins/enginefaults.py
@@ -13,6 +13,7 @@
         any headers.
     :param foreign_events: send an event of another attempt before each event.
     :param foreign_headers: name another attempt in the headers.
+    :param refusals_without_id: name no attempt in refusals of prompts.
     :param wrong_version: report another weight version and generate another text.
     :param duplicate_every: send every n-th event twice.
     :param skip_every: leave out every n-th event.
@@ -38,6 +39,7 @@
     break_before_headers: bool = False
     foreign_events: bool = False
     foreign_headers: bool = False
+    refusals_without_id: bool = False
     wrong_version: bool = False
     duplicate_every: int = 0
     skip_every: int = 0
