Replace unusable rows of the cluster's secret and of leases

Callers saw: a node ended at its start when another program had overwritten the row of the cluster's secret, and the node that wanted to order engines ended when the row of the lease was overwritten; with a number above 2**53 or below 0 it handed out such fencing numbers. Cause: the values of both rows were used without a check. Ruled out: rows whose bytes can't be read, which have no values since the tables read them row by row. A secret that isn't a text of 16 bytes or more is replaced on the condition that the row is as read; nodes that run keep theirs. An unusable lease row counts as held by an unknown node until it was unchanged for the takeover time. Fencing numbers count acquisitions, so the next one is taken from the wall clock in milliseconds, above all earlier ones.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/clustersecret.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/clustersecret.py
@@ -6,7 +6,8 @@
 import anyio
 from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError, Code
-from apricotlift.platform.table import ABSENT, Put, Row
+from apricotlift.platform.table import ABSENT, Put, Row, build_equals
+from apricotlift.wire.handshake import MIN_SECRET_BYTES
 
 PARTITION = "cluster"
 ROW = "secret"
@@ -23,10 +24,16 @@
     while True:
         try:
             row = await table.get(PARTITION, ROW)
+            known = row.values.get("secret") if row is not None else None
+            if isinstance(known, str) and len(known.encode()) >= MIN_SECRET_BYTES:
+                return known.encode()
+            condition = ABSENT
             if row is not None:
-                return str(row.values["secret"]).encode()
+                logs.log(logs.WARNING, "secret_unusable", row=f"{PARTITION}/{ROW}")
+                condition = build_equals(**row.values)
             secret = secrets.token_hex(_SECRET_BYTES)
-            await table.transact([Put(Row(PARTITION, ROW, {"secret": secret}), ABSENT)])
+            row = Row(PARTITION, ROW, {"secret": secret})
+            await table.transact([Put(row, condition)])
             return secret.encode()
         except ApricotliftError as error:
             if error.code is not Code.CONDITION_FAILED:
--- a/packages/apricotlift-state/src/apricotlift/state/tableleases.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tableleases.py
@@ -12,11 +12,15 @@
 from dataclasses import dataclass
 from uuid import uuid4
 
-from apricotlift.core.clocks import monotonic
+from apricotlift.core import logs
+from apricotlift.core.clocks import monotonic, wall_ms
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.platform.table import ABSENT, Put, Row, Table, Value, build_equals
 
+#: Numbers above this one aren't exact in all readers of JSON.
+_NUMBER_MAX = 2**53 - 1
+
 
 @dataclass(frozen=True)
 class LeaseSettings:
@@ -32,6 +36,15 @@
     takeover_wait_s: float = 12.0
 
 
+def _is_usable(row: Row) -> bool:
+    numbers = [row.values.get(name) for name in ("fence", "beat")]
+    return (
+        all(type(number) is int and 0 <= number < _NUMBER_MAX for number in numbers)
+        and type(row.values.get("held")) is bool
+        and type(row.values.get("holder")) is str
+    )
+
+
 async def _always_allow(_: Row) -> bool:
     return True
 
@@ -108,6 +121,8 @@
         if row is None:
             return await self._write(min_fence + 1, 1, True, None, values)
         self._record_state(row)
+        if not _is_usable(row):
+            return await self._replace_unusable_row(row, min_fence, values)
         if not await may_acquire(row):
             return False
         if row.values["held"]:
@@ -151,8 +166,24 @@
         except ApricotliftError as error:
             self._metrics.count("lease_releases_failed_total", reason=error.code)
 
+    async def _replace_unusable_row(
+        self, row: Row, min_fence: int, values: dict[str, Value]
+    ) -> bool:
+        """Acquire the lease of a row that another program wrote.
+
+        Its holder isn't known, so it counts as held until it was unchanged for long.
+        """
+        if self.unchanged_s < self._settings.takeover_wait_s:
+            return False
+        self._metrics.count("lease_rows_unusable_total")
+        logs.log(logs.WARNING, "lease_row_unusable", row=f"{self._pk}/{self._sk}")
+        # Fencing numbers count acquisitions, so the milliseconds since the epoch are
+        # above all earlier ones, which can't be read any more.
+        fence = max(wall_ms(), min_fence, self.fence) + 1
+        return await self._write(fence, 1, True, row, values)
+
     def _record_state(self, row: Row) -> None:
-        state = (row.values["fence"], row.values["beat"])
+        state = (row.values.get("fence"), row.values.get("beat"))
         if state != self._observed_fence_and_beat:
             self._observed_fence_and_beat = state
             self._unchanged_since = self._clock()
@@ -175,7 +206,10 @@
         row = Row(self._pk, self._sk, {**values, **own})
         condition = ABSENT
         if before is not None:
-            state = {name: before.values[name] for name in ("fence", "beat")}
+            names = ("fence", "beat")
+            state = {
+                name: before.values[name] for name in names if name in before.values
+            }
             condition = build_equals(**state)
         started_at = self._clock()
         try:
