Test a node beside entries and rows that another program wrote

The stand-in of the store can send a row with other fields than it has, and hold bytes that aren't JSON.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -1,8 +1,8 @@
 """Stand-in for the users' store: rows, transactions and a feed of changes.
 
 Run as ``python -m standins.rowstore``. ``POST /_fault`` selects a fault to simulate,
-``POST /_put`` writes a row as the operator or a server would, and ``GET /_calls``
-returns the number of calls by path.
+``POST /_put`` writes a row as the operator, a server or another program would, and
+``GET /_calls`` returns the number of calls by path.
 """
 
 import base64
@@ -30,6 +30,7 @@
     :param mode: simulated fault: ``none``; ``refuse`` answers 503 to every call;
         ``silent`` doesn't answer; ``lose`` applies transactions without answering.
     :param n_calls: calls by path, without those that control the stand-in.
+    :param odd_fields: fields that replace those of a row in each response.
     """
 
     rows: dict[tuple[str, str, str], tuple[bytes, int]] = field(default_factory=dict)
@@ -40,6 +41,7 @@
     kept_from: int = 0
     mode: str = "none"
     n_calls: dict[str, int] = field(default_factory=dict)
+    odd_fields: dict[tuple[str, str, str], dict] = field(default_factory=dict)
 
     def write(self, new_values: dict, removed_keys: list) -> None:
         """Apply a transaction as one new version."""
@@ -58,6 +60,7 @@
             **dict(zip(("table", "part", "key"), key, strict=True)),
             "value": base64.b64encode(value).decode(),
             "recordVersion": version,
+            **self.odd_fields.get(key, {}),
         }
 
 
@@ -131,6 +134,7 @@
                 "value": base64.b64encode(value or b"").decode(),
                 "recordVersion": version,
                 **({"deleted": True} if value is None else {}),
+                **state.odd_fields.get(key, {}),
             }
             for version, key, value in changes
         ]
@@ -148,8 +152,11 @@
         if request.path == "/_calls":
             return build_json_reply(state.n_calls)
         key = parse_key(data)
+        state.odd_fields[key] = data.get("odd_fields", {})
         value = data.get("value")
-        if value is None:
+        if "raw" in data:
+            state.write({key: base64.b64decode(data["raw"])}, [])
+        elif value is None:
             state.write({}, [key])
         else:
             state.write({key: json.dumps(value).encode()}, [])
