--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -2,8 +2,8 @@
 
 Run as ``python -m standins.rowstore``. ``POST /_fault`` selects a fault to simulate,
 takes a copy (``{"copy": true}``) or goes back to it (``{"restore": true}``),
-``POST /_put`` writes a row as the operator or a server would, and ``GET /_calls``
-returns the number of calls by path.
+``POST /_put`` writes a row as the operator, a server or another program would, and
+``GET /_calls`` returns the number of calls by path.
 """
 
 import base64
@@ -44,6 +44,7 @@
     :param n_calls: calls by path, without those that control the stand-in.
     :param era: number of the store's state; it rises when a copy is restored.
     :param copy: the copy that :meth:`restore` goes back to.
+    :param odd_fields: fields that replace those of a row in each response.
     """
 
     rows: dict[tuple[str, str, str], tuple[bytes, int]] = field(default_factory=dict)
@@ -56,6 +57,7 @@
     n_calls: dict[str, int] = field(default_factory=dict)
     era: int = _FIRST_ERA
     copy: RowStoreCopy | None = None
+    odd_fields: dict[tuple[str, str, str], dict] = field(default_factory=dict)
 
     def save_copy(self) -> None:
         """Keep a copy of the current state."""
@@ -88,6 +90,7 @@
             **dict(zip(("table", "part", "key"), key, strict=True)),
             "value": base64.b64encode(value).decode(),
             "recordVersion": version,
+            **self.odd_fields.get(key, {}),
         }
 
 
@@ -164,6 +167,7 @@
                 "value": base64.b64encode(value or b"").decode(),
                 "recordVersion": version,
                 **({"deleted": True} if value is None else {}),
+                **state.odd_fields.get(key, {}),
             }
             for version, key, value in changes
         ]
@@ -185,8 +189,11 @@
         if request.path == "/_calls":
             return build_json_reply(state.n_calls)
         key = parse_key(data)
+        state.odd_fields[key] = data.get("odd_fields", {})
         value = data.get("value")
-        if value is None:
+        if "raw" in data:
+            state.write({key: base64.b64decode(data["raw"])}, [])
+        elif value is None:
             state.write({}, [key])
         else:
             state.write({key: json.dumps(value).encode()}, [])
