--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/relays_steps.py
@@ -411,6 +411,8 @@
     body = context.reply.to_map()
     assert set(body) == known, set(body)
     assert RowsReply.from_map(body).era == 0
+    reply = replace(context.reply, era=2)
+    assert RowsReply.from_map(reply.to_map()) == reply
 
 
 @when(
