Number orders above all those of earlier eras of the store

Callers saw nothing; engines saw two lease holders with one fencing number, and a lower number after a higher one, when the store had come back from a copy.

Trace of the lease row on the code as it was: a row that is gone starts again at fence 1; a row that went back counts on from its old number; a free row likewise. In each case numbers are given out again, and another node gets them. The conditions on fence and beat don't help, because the pair occurs again too.

The era of the store is now the upper part of a fencing number, so a new number is above those of earlier eras whatever the row says. An acquisition or renewal counts only if the era was the same before the row was read and after it was written; otherwise the number would be that of an earlier era. With at most 2**24 numbers an era and eras below 2**29, numbers stay below 2**53, which receivers with floating-point numbers need.

Ruled out: counting on from the largest number that a node has seen, because a node that starts after the restore has seen none.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -131,6 +131,7 @@
             lambda server: _announce_weight_load(node, server),
             settings.bounds.order_lease_ms / 1000,
             metrics,
+            get_era=lambda: store.era,
         )
         store_cleaner = StoreCleaner(
             settings.node.name,
@@ -414,7 +415,12 @@
 
 
 class StorePort(RowSource):
-    """The client of the platform's store."""
+    """The client of the platform's store.
+
+    :ivar era: newest known era of the store; 0 until one is known.
+    """
+
+    era: int
 
     def open_table(self, name: str):
         """Return a table with the interface of ``platform.table.Table``."""
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -12,7 +12,11 @@
     build_dialect,
     build_rows,
 )
-from apricotlift.forwarding.weightrollout import WeightRollout
+from apricotlift.forwarding.weightrollout import (
+    LEASE_PARTITION,
+    LEASE_ROW,
+    WeightRollout,
+)
 from apricotlift.upstreams.pool import Response
 from behave import given, then, when
 
@@ -34,6 +38,8 @@
     load_s: float = _LOAD_S
     named: int = 0
     n_loading_max: int = 0
+    era: int = 1
+    copied_rows: dict = field(default_factory=dict)
 
     async def read_servers(self, table):
         """Return the servers' current entries in the store."""
@@ -107,19 +113,33 @@
 
 
 class DisconnectableTable:
-    """A node's connection to the table, which can be cut."""
+    """A node's connection to the table, which can be cut.
+
+    :ivar before_write: called before the next write, if set.
+    """
 
-    def __init__(self, table):
-        self.table = table
+    def __init__(self, world):
+        self.world = world
         self.is_cut = False
+        self.before_write = None
+        self._known_era = world.era
 
     async def get(self, pk, sk):
         self._check()
-        return await self.table.get(pk, sk)
+        return await self.world.table.get(pk, sk)
 
     async def transact(self, writes, token=""):
         self._check()
-        await self.table.transact(writes, token)
+        if self.before_write:
+            self.before_write()
+            self.before_write = None
+        await self.world.table.transact(writes, token)
+
+    def get_era(self):
+        """Return the newest era that the node has seen."""
+        if not self.is_cut:
+            self._known_era = self.world.era
+        return self._known_era
 
     def _check(self):
         if self.is_cut:
@@ -129,30 +149,35 @@
 @given('{n:d} engines on version 1 and the nodes "{nodes}"')
 def step_world(context, n, nodes):
     world = context.world = SimulatedCluster()
-    names = nodes.split(", ")
-    for name in names:
-        table = DisconnectableTable(world.table)
-        source = Source(world, table)
-        routing_state = RoutingState(build_dialect(), source, Metrics(), world.clock)
-        for number in range(n):
-            server = Server(f"e{number}", "svc", f"10.0.0.{number}:80", "z1")
-            routing_state.servers[server.server_id] = server
-            world.loaded[server.server_id] = 1
-        world.nodes[name] = WeightRollout(
-            name,
-            build_dialect(),
-            routing_state,
-            Handles(world, name),
-            table,
-            lambda: names,
-            lambda server: None,
-            3.0,
-            Metrics(),
-            world.clock,
-        )
+    for number in range(n):
+        world.loaded[f"e{number}"] = 1
+    for name in nodes.split(", "):
+        add_node(world, name)
     world.complete_loads()
 
 
+def add_node(world, name):
+    table = DisconnectableTable(world)
+    source = Source(world, table)
+    routing_state = RoutingState(build_dialect(), source, Metrics(), world.clock)
+    for number, server_id in enumerate(world.loaded):
+        server = Server(server_id, "svc", f"10.0.0.{number}:80", "z1")
+        routing_state.servers[server_id] = server
+    world.nodes[name] = WeightRollout(
+        name,
+        build_dialect(),
+        routing_state,
+        Handles(world, name),
+        table,
+        lambda: list(world.nodes),
+        lambda server: None,
+        3.0,
+        Metrics(),
+        world.clock,
+    )
+    world.nodes[name].get_era = table.get_era
+
+
 @given("an engine loads in {seconds:g} seconds")
 def step_load_time(context, seconds):
     context.world.load_s = seconds
@@ -183,10 +208,11 @@
 
 
 async def advance_to_first_order(world):
+    n_before = len(world.orders)
     for _ in range(200):
         await advance(world, _STEP_S)
-        if world.orders:
-            return world.orders[0][1]
+        if len(world.orders) > n_before:
+            return world.orders[n_before][1]
     raise AssertionError("no order was sent")
 
 
@@ -303,3 +329,103 @@
 @then("no engine is on version {version:d}")
 def step_none_on(context, version):
     assert version not in context.world.loaded.values(), context.world.loaded
+
+
+def restore_store(world):
+    """Replace the rows by the copy and begin a new era."""
+    world.table.rows = {place: dict(row) for place, row in world.copied_rows.items()}
+    world.era += 1
+
+
+@when("the store is copied")
+def step_copy(context):
+    world = context.world
+    world.copied_rows = {place: dict(row) for place, row in world.table.rows.items()}
+
+
+@when("the store comes back from the copy")
+def step_restore(context):
+    restore_store(context.world)
+    context.restored_at = context.world.clock()
+
+
+@when("version {version:d} is named and the first order is sent")
+def step_first_order(context, version):
+    world = context.world
+    name_version(world, version)
+    context.holder = anyio.run(advance_to_first_order, world)
+
+
+@when("{seconds:g} seconds pass in the cluster")
+def step_pass(context, seconds):
+    anyio.run(advance, context.world, seconds)
+
+
+@when("the lease holder is cut off from the store")
+def step_cut_holder(context):
+    context.world.nodes[context.holder].table.is_cut = True
+
+
+@when("the lease holder ends")
+def step_end_holder(context):
+    del context.world.nodes[context.holder]
+
+
+@when('all nodes end, and "{name}" starts with version {version:d} named')
+def step_replace_nodes(context, name, version):
+    world = context.world
+    world.nodes.clear()
+    add_node(world, name)
+    name_version(world, version)
+
+
+@when('"{name}" starts with version {version:d} named')
+def step_start_node(context, name, version):
+    world = context.world
+    add_node(world, name)
+    world.nodes[name].routing_state._apply_weights("m", version)
+
+
+@when("the store comes back from the copy before the lease holder's next renewal")
+def step_restore_before_renewal(context):
+    world = context.world
+    table = world.nodes[context.holder].table
+    table.before_write = lambda: restore_store(world)
+    context.n_orders = len(world.orders)
+
+
+@then("no fencing number is below one before, and none belongs to two nodes")
+def step_fences_rise(context):
+    orders = context.world.orders
+    fences = [order[4] for order in orders]
+    assert fences == sorted(fences), orders
+    holders = {}
+    for _, node, _, _, fence in orders:
+        assert holders.setdefault(fence, node) == node, orders
+    assert max(fences) < 2**53, fences
+
+
+@then("the first order comes within {seconds:g} seconds after the naming")
+def step_soon(context, seconds):
+    world = context.world
+    waited_s = world.orders[0][0] - context.named_at
+    assert waited_s <= seconds, waited_s
+
+
+@then("the lease holder's next order comes within {seconds:g} seconds of the restore")
+def step_continues(context, seconds):
+    orders = context.world.orders
+    later = [order for order in orders if order[0] > context.restored_at]
+    assert later, "no order was sent after the restore"
+    assert later[0][1] == context.holder, (context.holder, later[0])
+    assert later[0][0] - context.restored_at <= seconds, later[0]
+
+
+@when("the store is copied with {lease} lease row")
+def step_copy_lease(context, lease):
+    world = context.world
+    if lease != "no":
+        row = {"owner": "n0", "holder": "x", "fence": 1, "beat": 9, "era": world.era}
+        world.table.rows[(LEASE_PARTITION, LEASE_ROW)] = row | {"held": lease == "held"}
+        anyio.run(advance, world, 5)
+    step_copy(context)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -72,6 +72,7 @@
     :param list_live_nodes: returns the names of the live nodes, this one included.
     :param announce_load: tells all nodes that an engine is ordered to load weights.
     :param order_lease_s: shortest time between orders of two lease holders.
+    :param get_era: returns the newest known era of the store.
     """
 
     own_name: str
@@ -84,6 +85,7 @@
     order_lease_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
+    get_era: Callable[[], int] = lambda: 0
     _sent_orders: dict[tuple, _SentOrder] = field(default_factory=dict)
     _last_order_at: float = float("-inf")
     _next_acquire_at: float = 0.0
@@ -99,6 +101,7 @@
             self.metrics,
             LeaseSettings(_LEASE_DURATION_S, takeover_wait_s),
             self.clock,
+            lambda: self.get_era(),
         )
 
     async def run(self) -> None:
--- a/packages/apricotlift-state/src/apricotlift/state/tableleases.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tableleases.py
@@ -6,6 +6,10 @@
 other nodes take a lease over only after the row has been unchanged for longer than the
 lease by their own clock. All writes are conditional on fence and beat; no pair of the
 two occurs twice.
+
+A table that comes back from a copy has a new era. The era is the upper part of a
+fencing number, so that a new number is above all those of earlier eras, whatever the
+row says. A write counts only if the era is the same before and after it.
 """
 
 from collections.abc import Awaitable, Callable
@@ -17,6 +21,10 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.platform.table import ABSENT, Put, Row, Table, Value, build_equals
 
+#: Fencing numbers of one era. Receivers of orders may handle numbers as floating-point
+#: values, which are exact below 2**53; eras up to 2**29 keep them below that.
+FENCES_PER_ERA = 2**24
+
 
 @dataclass(frozen=True)
 class LeaseSettings:
@@ -36,12 +44,18 @@
     return True
 
 
+def _get_only_era() -> int:
+    return 0
+
+
 class TableLease:
     """One node's handle on the lease in one table row.
 
     :param pk: partition key of the row.
     :param sk: sort key of the row.
     :param clock: returns seconds of a monotonic clock that counts suspended time.
+    :param get_era: returns the newest known era of the table. Without it, the table
+        must never come back from a copy while a lease is in use.
     """
 
     def __init__(
@@ -53,6 +67,7 @@
         metrics: Metrics,
         settings: LeaseSettings = LeaseSettings(),  # noqa: B008 (frozen)
         clock: Callable[[], float] = monotonic,
+        get_era: Callable[[], int] = _get_only_era,
     ):
         self._table = table
         self._pk = pk
@@ -61,6 +76,7 @@
         self._metrics = metrics
         self._settings = settings
         self._clock = clock
+        self._get_era = get_era
         # Distinguishes lease objects with the same node id, also across a restart.
         self._holder = uuid4().hex
         self._valid_until = float("-inf")
@@ -104,7 +120,11 @@
         :returns: whether the lease was acquired.
         :raises ApricotliftError: ``table_unavailable``.
         """
+        era = self._get_era()
+        min_fence = max(min_fence, era * FENCES_PER_ERA)
         row = await self._table.get(self._pk, self._sk)
+        if self._get_era() != era:
+            return False
         if row is None:
             return await self._write(min_fence + 1, 1, True, None, values)
         self._record_state(row)
@@ -116,6 +136,8 @@
                 return False
             if not await may_acquire_lapsed(row):
                 return False
+        if self._get_era() != era:
+            return False
         fence = max(int(row.values["fence"]), min_fence) + 1
         return await self._write(fence, 1, True, row, values)
 
@@ -177,6 +199,7 @@
         if before is not None:
             state = {name: before.values[name] for name in ("fence", "beat")}
             condition = build_equals(**state)
+        era = self._get_era()
         started_at = self._clock()
         try:
             await self._table.transact([Put(row, condition)])
@@ -188,6 +211,9 @@
                 raise
             if not await self._is_written(row):
                 return False
+        if self._get_era() != era:
+            self.abandon()
+            return False
         self._row = row
         if held:
             self._valid_until = started_at + self._settings.lease_s
