Let nobody acquire a restored order lease too soon, but for its last holder

Engines received orders of two nodes 0.2 s apart, where the least time between two holders is 3 s, when the store had come back from a copy.

Trace of the lease row on the code as it was: a row that is missing or free lets any node acquire at once. A row that is held by an earlier holder lets that holder acquire at once, because it finds its own name, and others after a wait that they may have begun long before. The last holder keeps its lease by its clock for up to 0.8 s more, and a renewal whose condition is met by chance keeps it longer.

A lease is now lost as soon as a new era is known, from any answer of the store. The row states the era in which it was written. A lease of an earlier era is acquired only when lease, order lease and margin (4 s) have passed since this node first saw the new era. Only the last holder goes on at once. It is certain to be that while less than 95% of the takeover wait has passed since its last write. A node that starts after the restore sees the earlier era in the row. Nodes write a missing row with the first era that they have seen, at their start and in each new era, so that a missing row means a new table and the first acquisition after an ordinary start isn't delayed. A node that starts in the moment between a restore to before any node's start and the living nodes' first look at the row writes the new era; they lower it, as long as the lease wasn't acquired in between, which takes a named version and 0.5 s.

Ruled out: waiting in every era that a starting node first sees, because that delays the first orders of an ordinary start by 4 s; a separate row for the first era, because the lease row can state it.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -352,6 +352,7 @@
 @when("version {version:d} is named and the first order is sent")
 def step_first_order(context, version):
     world = context.world
+    context.named_at = world.clock()
     name_version(world, version)
     context.holder = anyio.run(advance_to_first_order, world)
 
@@ -366,19 +367,16 @@
     context.world.nodes[context.holder].table.is_cut = True
 
 
+@when("the lease holder is connected again")
+def step_connect_holder(context):
+    context.world.nodes[context.holder].table.is_cut = False
+
+
 @when("the lease holder ends")
 def step_end_holder(context):
     del context.world.nodes[context.holder]
 
 
-@when('all nodes end, and "{name}" starts with version {version:d} named')
-def step_replace_nodes(context, name, version):
-    world = context.world
-    world.nodes.clear()
-    add_node(world, name)
-    name_version(world, version)
-
-
 @when('"{name}" starts with version {version:d} named')
 def step_start_node(context, name, version):
     world = context.world
@@ -386,12 +384,21 @@
     world.nodes[name].routing_state._apply_weights("m", version)
 
 
-@when("the store comes back from the copy before the lease holder's next renewal")
-def step_restore_before_renewal(context):
+@when("the store is away for {seconds:g} seconds and comes back from the copy")
+def step_away(context, seconds):
+    tables = [rollout.table for rollout in context.world.nodes.values()]
+    for table in tables:
+        table.is_cut = True
+    anyio.run(advance, context.world, seconds)
+    step_restore(context)
+    for table in tables:
+        table.is_cut = False
+
+
+@when("the store comes back from the copy during the lease holder's next renewal")
+def step_restore_in_renewal(context):
     world = context.world
-    table = world.nodes[context.holder].table
-    table.before_write = lambda: restore_store(world)
-    context.n_orders = len(world.orders)
+    world.nodes[context.holder].table.before_write = lambda: restore_store(world)
 
 
 @then("no fencing number is below one before, and none belongs to two nodes")
@@ -405,10 +412,24 @@
     assert max(fences) < 2**53, fences
 
 
+@then("the lease holder has no lease")
+def step_no_lease(context):
+    assert not context.world.nodes[context.holder]._lease.is_valid()
+
+
+@then("the lease holder's next fencing number is a new one")
+def step_new_fence(context):
+    world = context.world
+    assert world.era == 2, "there was no renewal"
+    anyio.run(advance, world, 5)
+    fences = {order[4] for order in world.orders if order[0] > context.named_at + 1.5}
+    before = world.orders[0][4]
+    assert fences and min(fences) > before, (before, fences)
+
+
 @then("the first order comes within {seconds:g} seconds after the naming")
 def step_soon(context, seconds):
-    world = context.world
-    waited_s = world.orders[0][0] - context.named_at
+    waited_s = context.world.orders[0][0] - context.named_at
     assert waited_s <= seconds, waited_s
 
 
@@ -418,7 +439,7 @@
     later = [order for order in orders if order[0] > context.restored_at]
     assert later, "no order was sent after the restore"
     assert later[0][1] == context.holder, (context.holder, later[0])
-    assert later[0][0] - context.restored_at <= seconds, later[0]
+    assert later[0][0] - context.restored_at <= seconds, (context.restored_at, later)
 
 
 @when("the store is copied with {lease} lease row")
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -125,6 +125,7 @@
             await self._lease.release()
 
     async def _run_once(self) -> None:
+        await self._lease.ensure_row()
         outdated = self.routing_state.list_outdated_engines()
         if not outdated:
             self._sent_orders.clear()
--- a/packages/apricotlift-state/src/apricotlift/state/tableleases.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tableleases.py
@@ -10,6 +10,12 @@
 A table that comes back from a copy has a new era. The era is the upper part of a
 fencing number, so that a new number is above all those of earlier eras, whatever the
 row says. A write counts only if the era is the same before and after it.
+
+With a new era a lease is lost at once. The row may be that of an earlier holder, free
+or missing, so nobody but the last holder acquires a lease of an earlier era before
+``takeover_wait_s`` has passed since the new era was first seen. A row states the era in
+which it was written. So that a node that starts after the restore knows of an earlier
+era, nodes create a missing row with the first era that they have seen.
 """
 
 from collections.abc import Awaitable, Callable
@@ -19,12 +25,26 @@
 from apricotlift.core.clocks import monotonic
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
-from apricotlift.platform.table import ABSENT, Put, Row, Table, Value, build_equals
+from apricotlift.platform.table import (
+    ABSENT,
+    Condition,
+    Put,
+    Row,
+    Table,
+    Value,
+    build_equals,
+)
 
 #: Fencing numbers of one era. Receivers of orders may handle numbers as floating-point
 #: values, which are exact below 2**53; eras up to 2**29 keep them below that.
 FENCES_PER_ERA = 2**24
 
+#: Share of the takeover wait for which a node is sure that nobody else has acquired the
+#: lease since its last write; clocks may run at different rates.
+_LAST_HOLDER_SHARE = 0.95
+
+_ENSURE_PAUSE_S = 0.5
+
 
 @dataclass(frozen=True)
 class LeaseSettings:
@@ -83,6 +103,13 @@
         self._row: Row | None = None
         self._observed_fence_and_beat: tuple[Value, Value] | None = None
         self._unchanged_since = 0.0
+        self._era = get_era()
+        self._first_era = self._era
+        self._era_seen_at = clock()
+        self._sole_holder_until = float("-inf")
+        self._is_last_holder = False
+        self._ensured_era = 0
+        self._ensure_at = float("-inf")
 
     @property
     def fence(self) -> int:
@@ -96,12 +123,32 @@
 
     def is_valid(self, margin_s: float = 0.0) -> bool:
         """Return whether the lease is held now and for ``margin_s`` more seconds."""
+        self._note_era()
         return self._clock() + margin_s < self._valid_until
 
     def abandon(self) -> None:
         """Treat the lease as lost without writing to the table."""
         self._valid_until = float("-inf")
 
+    async def ensure_row(self) -> None:
+        """Create the row of a free lease if it is missing, once in each era.
+
+        Without this, a node that starts after a restore couldn't tell a missing row
+        from that of a new table, and would acquire the lease at once.
+
+        :raises ApricotliftError: ``table_unavailable`` or ``table_unclear``.
+        """
+        era = self._note_era()
+        if era == self._ensured_era or self._clock() < self._ensure_at:
+            return
+        self._ensure_at = self._clock() + _ENSURE_PAUSE_S
+        row = await self._table.get(self._pk, self._sk)
+        if row is None or _is_later_start(row, self._first_era):
+            await self._write_free_row(row)
+            # Read again later, because another node may have written it first.
+        elif self._note_era() == era:
+            self._ensured_era = era
+
     async def acquire(
         self,
         min_fence: int = 0,
@@ -120,23 +167,22 @@
         :returns: whether the lease was acquired.
         :raises ApricotliftError: ``table_unavailable``.
         """
-        era = self._get_era()
+        era = self._note_era()
         min_fence = max(min_fence, era * FENCES_PER_ERA)
         row = await self._table.get(self._pk, self._sk)
-        if self._get_era() != era:
+        if self._note_era() != era:
+            return False
+        if row is not None:
+            self._record_state(row)
+            if not await may_acquire(row):
+                return False
+        if not self._is_lapsed(row):
             return False
         if row is None:
             return await self._write(min_fence + 1, 1, True, None, values)
-        self._record_state(row)
-        if not await may_acquire(row):
+        if row.values["held"] and not await may_acquire_lapsed(row):
             return False
-        if row.values["held"]:
-            is_own = row.values["holder"] == self._holder
-            if not is_own and self.unchanged_s < self._settings.takeover_wait_s:
-                return False
-            if not await may_acquire_lapsed(row):
-                return False
-        if self._get_era() != era:
+        if self._note_era() != era:
             return False
         fence = max(int(row.values["fence"]), min_fence) + 1
         return await self._write(fence, 1, True, row, values)
@@ -167,12 +213,35 @@
             self.abandon()
             return
         self.abandon()
+        self._sole_holder_until = float("-inf")
         beat = int(self._row.values["beat"]) + 1
         try:
             await self._write(self.fence, beat, False, self._row, self._row.values)
         except ApricotliftError as error:
             self._metrics.count("lease_releases_failed_total", reason=error.code)
 
+    def _note_era(self) -> int:
+        era = self._get_era()
+        if era != self._era:
+            now = self._clock()
+            self._is_last_holder = now < self._sole_holder_until
+            self.abandon()
+            self._first_era = self._first_era or era
+            self._era = era
+            self._era_seen_at = now
+        return era
+
+    def _is_lapsed(self, row: Row | None) -> bool:
+        """Return whether no other node can hold the lease any more."""
+        row_era = self._first_era if row is None else int(row.values.get("era", 0))
+        if row_era < self._era:
+            waited_s = self._clock() - self._era_seen_at
+            return self._is_last_holder or waited_s >= self._settings.takeover_wait_s
+        if row is None or not row.values["held"]:
+            return True
+        is_own = row.values["holder"] == self._holder
+        return is_own or self.unchanged_s >= self._settings.takeover_wait_s
+
     def _record_state(self, row: Row) -> None:
         state = (row.values["fence"], row.values["beat"])
         if state != self._observed_fence_and_beat:
@@ -187,41 +256,72 @@
         before: Row | None,
         values: dict[str, Value],
     ) -> bool:
+        era = self._note_era()
         own = {
             "owner": self._node_id,
             "holder": self._holder,
             "fence": fence,
             "beat": beat,
             "held": held,
+            "era": era,
         }
         row = Row(self._pk, self._sk, {**values, **own})
-        condition = ABSENT
-        if before is not None:
-            state = {name: before.values[name] for name in ("fence", "beat")}
-            condition = build_equals(**state)
-        era = self._get_era()
+        condition = _build_condition(before)
         started_at = self._clock()
         try:
             await self._table.transact([Put(row, condition)])
         except ApricotliftError as error:
             if error.code is Code.CONDITION_FAILED:
+                self._note_era()
                 self.abandon()
+                self._sole_holder_until = float("-inf")
                 return False
             if error.code is not Code.TABLE_UNCLEAR:
                 raise
             if not await self._is_written(row):
                 return False
-        if self._get_era() != era:
-            self.abandon()
+        if self._note_era() != era:
             return False
         self._row = row
         if held:
             self._valid_until = started_at + self._settings.lease_s
+            sole_s = _LAST_HOLDER_SHARE * self._settings.takeover_wait_s
+            self._sole_holder_until = started_at + sole_s
         return True
 
+    async def _write_free_row(self, before: Row | None) -> None:
+        beat = int(before.values["beat"]) + 1 if before else 0
+        values = {
+            "owner": self._node_id,
+            "holder": self._holder,
+            "fence": 0,
+            "beat": beat,
+            "held": False,
+            "era": self._first_era,
+        }
+        condition = _build_condition(before)
+        try:
+            await self._table.transact(
+                [Put(Row(self._pk, self._sk, values), condition)]
+            )
+        except ApricotliftError as error:
+            if error.code is not Code.CONDITION_FAILED:
+                raise
+
     async def _is_written(self, row: Row) -> bool:
         found = await self._table.get(self._pk, self._sk)
         names = ("holder", "fence", "beat")
         return found is not None and all(
             found.values.get(name) == row.values[name] for name in names
         )
+
+
+def _build_condition(before: Row | None) -> Condition:
+    if before is None:
+        return ABSENT
+    return build_equals(**{name: before.values[name] for name in ("fence", "beat")})
+
+
+def _is_later_start(row: Row, first_era: int) -> bool:
+    """Return whether a lease was never acquired, and its row states a later era."""
+    return int(row.values["fence"]) == 0 and int(row.values["era"]) > first_era
