Keep members whose rows a restored store lacks, and write the rows again

A node dropped all other nodes from its view, so that the directory named only itself, when the store had come back from a copy of before they started, and it read the member rows. The departures also spread by gossip.

Trace of a member row on the code as it was: - Another node's row that is missing after a query returned it: the member has left, at all nodes, until it takes a new incarnation. - The own row missing: the node takes a new incarnation at its next renewal, after 5 s, or half a second a member in a large fleet. - The own row older, of the same incarnation: read back and written again at the next renewal. Others keep the later state (draining) that they know. - The own row of an earlier process with this node's name: the node counts itself as superseded for good and never writes its row again. - The row of a member that left: it is ignored for 60 s, then a member that was never heard from. It isn't live, so the directory, readers, budgets and ranks don't count it; the row is deleted when it was unrenewed for 4 hours.

With a new era, a row must be seen again before its absence is a departure. Each node writes its own row again within 10 ms a member, at most 5 s, and keeps its incarnation. A row with an incarnation below the one that this node last wrote was restored: a process that takes a row over always chooses a higher one.

Not covered: a node that can't reach the store and whose restored row is missing or of an earlier process isn't renewed by its peers; it writes the row when it reaches the store.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -104,6 +104,7 @@
             stack, settings, table, secret, metrics, sockets
         )
         membership = peer_network.membership
+        store.watch_era(lambda _: membership.handle_restore())
         node = _build_runtime(
             settings,
             dialect,
--- a/packages/apricotlift-state/src/apricotlift/state/memberlease.py
+++ b/packages/apricotlift-state/src/apricotlift/state/memberlease.py
@@ -70,6 +70,7 @@
         self._last_renewed_at = NEVER
         self._has_written_row = False
         self._is_deleted = False
+        self._is_restored = False
         self._replaces = ""
         self._written_incarnation = ""
         self._renewal = 0
@@ -130,6 +131,14 @@
         self.incarnation = build_incarnation(self._wall_ms(), self._random, incarnation)
         return True
 
+    def handle_restore(self) -> None:
+        """Have the next renewal write the row again after the table was restored.
+
+        The row may then be missing, or older than this node's last write.
+        """
+        self._known_row = None
+        self._is_restored = True
+
     async def publish(
         self, state: MemberState | None = None, confirmed_version: int | None = None
     ) -> bool:
@@ -164,6 +173,7 @@
                 return False
             self._last_renewed_at = started_at
             self._has_written_row = True
+            self._is_restored = False
             self._replaces = ""
             self._metrics.count("lease_renewals_total")
             return True
@@ -232,7 +242,7 @@
         """Read this node's row and check which incarnation holds it."""
         row = await self._table.get(MEMBER_PK, self._own.node_id)
         if row is None:
-            if self._has_written_row:
+            if self._has_written_row and not self._is_restored:
                 # The row was deleted because it was unrenewed for hours, or by an
                 # operator. Gossip may report that this incarnation left.
                 self._has_written_row = False
@@ -241,7 +251,10 @@
             return None
         holder = str(row.values.get("incarnation", ""))
         if holder not in (self.incarnation, self._replaces):
-            if self._has_written_row:
+            # A process that takes a row over chooses a higher incarnation than that in
+            # the row, so a lower one was restored with the table.
+            is_newer = holder > (self._replaces or self.incarnation)
+            if self._has_written_row and is_newer:
                 self._mark_superseded(holder)
                 return row
             if holder > self.incarnation:
--- a/packages/apricotlift-state/src/apricotlift/state/membership.py
+++ b/packages/apricotlift-state/src/apricotlift/state/membership.py
@@ -57,6 +57,10 @@
 #: A failed lease write is retried after this delay instead of the renewal interval, so
 #: that two attempts fit into the duration of a lease.
 _LEASE_RETRY_DELAY_S = 1.0
+#: After a restore of the table, nodes write their rows again at a random moment within
+#: this time for each member, and at most within a renewal interval.
+_RESTORE_SPREAD_S_PER_MEMBER = 0.01
+
 _PEER_RENEWAL_TIMEOUT_S = 2.5
 _MAX_RENEWAL_PEERS = 2
 
@@ -107,6 +111,7 @@
         self._tasks: TaskGroup | None = None
         self._observed_rows: dict[str, _ObservedRow] = {}
         self._last_query_at = NEVER
+        self._restored = anyio.Event()
         self.lease = Lease(
             table, own, self._ask_peer_to_renew, metrics, random, clock, wall_ms
         )
@@ -195,6 +200,17 @@
         """
         return await self.lease.delete()
 
+    def handle_restore(self) -> None:
+        """Handle that the table came back from a copy.
+
+        A member whose row is missing now hasn't left, and this node's row is written
+        again soon.
+        """
+        self.view.forget_rows()
+        self._observed_rows.clear()
+        self.lease.handle_restore()
+        self._restored.set()
+
     def apply_live_list(self, live_list: LiveList) -> set[str]:
         """Return the ids of members that the platform reports as leaving.
 
@@ -240,10 +256,18 @@
             is_renewed = await self.lease.renew()
             # The first write may have changed the incarnation.
             self._update_own_summary()
-            await anyio.sleep(
+            await self._wait_for_renewal(
                 self.get_renewal_interval_s() if is_renewed else _LEASE_RETRY_DELAY_S
             )
 
+    async def _wait_for_renewal(self, interval_s: float) -> None:
+        with anyio.move_on_after(interval_s):
+            await self._restored.wait()
+            self._restored = anyio.Event()
+            spread_s = _RESTORE_SPREAD_S_PER_MEMBER * len(self.view.members)
+            spread_s = min(RENEWAL_INTERVAL_S, spread_s)
+            await anyio.sleep(spread_s * self._random.random())
+
     async def _run_member_queries(self) -> None:
         interval_s = FIRST_QUERY_INTERVAL_S
         while True:
--- a/packages/apricotlift-state/src/apricotlift/state/tests/memberlease.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/memberlease.feature
@@ -102,3 +102,20 @@
     When the membership row of node-a is deleted by another node
     Then the membership lease can be renewed
     And the membership row of node-a has the new incarnation
+
+  Scenario Outline: A row that was restored from a copy is written again
+    Guards against a running node that gives up its row, or appears as another process,
+    because the table came back from a copy.
+    Given a membership lease that is held
+    When the membership lease publishes draining
+    And the table comes back with <row> of node-a
+    And the membership lease is renewed
+    Then the membership row of node-a has state draining
+    And the membership lease keeps its incarnation
+    And the membership lease can be renewed
+
+    Examples:
+      | row                                 |
+      | no row                              |
+      | an earlier row                      |
+      | the row of an earlier process       |
--- a/packages/apricotlift-state/src/apricotlift/state/tests/membership.feature
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/membership.feature
@@ -70,3 +70,43 @@
       | 22  | not needed | 11      | 22    |
       | 200 | not needed | 100     | 45    |
       | 200 | needed     | 5       | 15    |
+
+  Scenario: Members whose rows are missing after a restore haven't left
+    Guards against live nodes that are dropped by all others, because the table came back
+    from a copy of before they started.
+    Given a membership node with a fake clock and version 4 confirmed
+    And membership rows of node-x and node-y
+    When the membership node queries once
+    And the table comes back from a copy with only the row of node-x
+    And the membership node queries once
+    Then the membership view holds node-x and node-y
+
+  Scenario: A member that left after a restore is known to have left
+    Guards against members that are kept after their departure, because the table had
+    been restored before it.
+    Given a membership node with a fake clock and version 4 confirmed
+    And membership rows of node-x and node-y
+    When the table comes back from a copy with only the row of node-x
+    And the membership node queries once
+    And node-x deletes its membership row
+    And the membership node queries once
+    Then the membership view doesn't hold node-x
+
+  Scenario: A row of a member that left comes back
+    Guards against a directory that names a dead node, and shares and ranks that count it.
+    Given a membership node with a fake clock and version 4 confirmed
+    And membership rows of node-x and node-y
+    When the membership node queries once
+    And node-x deletes its membership row
+    And the membership node queries once
+    And the membership clock advances by 90 s
+    And the table comes back from a copy with only the row of node-x
+    And the membership node queries once
+    Then the membership node counts only itself as live
+
+  Scenario: Nodes write their rows again after a restore
+    Guards against nodes that start after a restore and don't find the others.
+    Given membership nodes a, b and c on one table
+    When the membership nodes run and the table comes back empty
+    Then each membership row is written again within 3 s, with its incarnation
+    And each membership node has gone on listing all three to callers
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/memberlease_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/memberlease_steps.py
@@ -5,7 +5,8 @@
 import anyio
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
-from apricotlift.state.memberlease import Lease, write_for_peer
+from apricotlift.platform.table import Row
+from apricotlift.state.memberlease import MEMBER_PK, Lease, write_for_peer
 from apricotlift.state.tests.membership_fakes import (
     FakeClock,
     FakeTable,
@@ -212,3 +213,24 @@
 @then("there is no membership row of node-a")
 def check_no_row(context):
     assert context.rows_table.rows == {}
+
+
+@when("the table comes back with {row} of node-a")
+def restore_rows(context, row):
+    rows = context.rows_table.rows
+    if row == "no row":
+        del rows["node-a"]
+    else:
+        values = {**rows["node-a"].values, "renewal": 1, "state": "serving"}
+        if row == "the row of an earlier process":
+            values["incarnation"] = "0" * 20
+        rows["node-a"] = Row(MEMBER_PK, "node-a", values)
+    context.lease.handle_restore()
+
+
+@then("the membership lease keeps its incarnation")
+def check_same_incarnation(context):
+    assert not context.lease.is_superseded
+    assert context.lease.incarnation == context.old_incarnation
+    row = context.rows_table.rows["node-a"]
+    assert row.values["incarnation"] == context.old_incarnation, row
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/membership_steps.py
@@ -276,3 +276,58 @@
 def check_intervals(context, renewal_s, query_s):
     assert context.node.get_renewal_interval_s() == renewal_s
     assert context.node.get_query_interval_s() == query_s
+
+
+@when("the table comes back from a copy with only the row of node-x")
+def restore_table(context):
+    write_row(context, "node-x")
+    context.rows_table.rows.pop("node-y", None)
+    context.node.handle_restore()
+
+
+@when("node-x deletes its membership row")
+def delete_row(context):
+    del context.rows_table.rows["node-x"]
+
+
+@then("the membership view doesn't hold node-x")
+def check_left_view(context):
+    assert "node-x" not in context.node.view.members
+
+
+@then("the membership node counts only itself as live")
+def check_only_live(context):
+    view = context.node.view
+    assert list(view.get_eligible()) == ["node-a"], view.get_eligible()
+    assert [item.node_id for item in view.get_serving()] == ["node-a"]
+
+
+@when("the membership nodes run and the table comes back empty")
+def run_restore(context):
+    async def action(nodes):
+        incarnations = [node.membership.lease.incarnation for node in nodes]
+        context.rows.clear()
+        restored_at = anyio.current_time()
+        for node in nodes:
+            node.membership.handle_restore()
+        for node in nodes:
+            await node.membership.query_members()
+        context.listed = [list_serving(node) for node in nodes]
+        await wait_until(lambda: len(context.rows) == len(nodes))
+        context.waited_s = anyio.current_time() - restored_at
+        context.listed += [list_serving(node) for node in nodes]
+        written = [context.rows[name].values["incarnation"] for name in "abc"]
+        context.is_same = written == incarnations
+
+    run_nodes(context, action)
+
+
+@then("each membership row is written again within {seconds:d} s, with its incarnation")
+def check_rewritten(context, seconds):
+    assert context.waited_s < seconds, context.waited_s
+    assert context.is_same
+
+
+@then("each membership node has gone on listing all three to callers")
+def check_still_listed(context):
+    assert all(listed == ["a", "b", "c"] for listed in context.listed), context.listed
--- a/packages/apricotlift-state/src/apricotlift/state/view.py
+++ b/packages/apricotlift-state/src/apricotlift/state/view.py
@@ -222,6 +222,11 @@
                 del self.members[node_id]
                 self._invalidate_roster()
 
+    def forget_rows(self) -> None:
+        """Take no missing row for a departure until a query has returned the row."""
+        for node_id, member in self.members.items():
+            member.is_in_table = node_id == self.own.node_id
+
     def record_heard(self, member: Member, at: float) -> None:
         """Record a hint that a member was alive at a time."""
         member.heard_at = max(member.heard_at, at)
