Keep crash reports and clearances when the store comes back from a copy

Prompts that crash engines were accepted again: the nodes forgot the crashes whose reports were missing from the copy. A node also counted old crashes again whose deleted reports came back, and a node that started after the restore refused a sound part, because the copy had the crashes and not the clearance.

Trace on the code as it was: - A report that is missing when the table is read as a whole: taken for deleted, so the crash is forgotten, at its writer too, and never written again. - A deleted report that comes back: a new crash, for another 600 s. A deleted clearance that comes back: clears the crashes since. - A clearance that is missing: forgotten as a row only; nodes that start later never learn of it. - A version that is given out again: a report that has grown looks like the one that is known and is skipped. With another version, an unchanged report counts again and its answers clear again.

When the whole table is read in a new era, missing rows aren't deletions, and each node writes its missing or older rows again. A report that is written again leaves out parts that were cleared meanwhile, because its version is then above that of the clearance. Rows are recognised by a digest of their content, not by versions. Rows that were deleted and come back are ignored until they are deleted again. The answers of a report clear only once.

Not covered: reports whose writer has died keep counting at living nodes, but nobody writes them again for nodes that start later; a node that starts in the seconds between a deletion and the restore counts such a row.

Of 6 new scenarios, 5 failed before: the part isn't refused at n1 (reports lost, once and twice; a clearance and later crashes), it is refused at n1 (deleted reports) and at n4 (lost clearance). The sixth, cleared parts in a report, passed, because nothing was written again; it guards the new writes.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
@@ -53,6 +53,7 @@
     :param is_old: whether it happened before this node started.
     :param counted: parts that the crash counts against, with their positions.
     :param cleared: parts that it doesn't count against, whatever reports follow.
+    :param answered: parts that were being answered when it happened.
     :param answered_before: those that were answered not long before it.
     """
 
@@ -60,6 +61,7 @@
     is_old: bool = False
     counted: dict[str, int] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
+    answered: set[str] = field(default_factory=set)
     answered_before: set[str] = field(default_factory=set)
 
 
@@ -95,12 +97,15 @@
         self._decisions.clear()
         now = self.clock()
         crash = self._crashes.setdefault(incarnation, _Crash(now, is_old))
-        for part in answered:
+        # A report may be written again later; its answers were given before the crash.
+        for part in set(answered) - crash.answered:
             self.add_answer(part)
             crash.cleared.add(part)
-        crash.answered_before.update(recently_answered)
-        for part in () if is_old else recently_answered:
-            self._note_answered(part, now)
+            crash.answered.add(part)
+        for part in set(recently_answered) - crash.answered_before:
+            crash.answered_before.add(part)
+            if not is_old:
+                self._note_answered(part, now)
         for part, position in parts.items():
             if part not in crash.cleared:
                 crash.counted.setdefault(part, position)
@@ -130,6 +135,11 @@
             crash.cleared.add(part)
         return bool(known)
 
+    def list_cleared(self, incarnation: Incarnation) -> set[str]:
+        """Return the parts that a crash doesn't count against."""
+        crash = self._crashes.get(incarnation)
+        return set(crash.cleared) if crash else set()
+
     def forget_crash(self, incarnation: Incarnation) -> None:
         """Remove a crash whose report was deleted."""
         self._decisions.clear()
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
@@ -45,6 +45,7 @@
 #: they have seen for twice that time, because its writer has died.
 _ABANDONED_AFTER_S = 2 * PART_RETENTION_S
 _N_DELETES_MAX = 50
+_N_WRITES_MAX = 20
 _SWEEP_INTERVAL_S = 5.0
 _DELETE_RETRY_S = 30.0
 
@@ -75,12 +76,14 @@
 
     :param version: the store's version; 0 for an own row that wasn't read back yet.
     :param incarnation: the crash that the row reports, if it reports one.
+    :param content: digest of the row as it was last read.
     """
 
     version: int
     delete_at: float
     is_own: bool = False
     incarnation: Incarnation | None = None
+    content: bytes = b""
 
 
 @dataclass
@@ -109,7 +112,11 @@
     _rows: OrderedDict[str, _KnownRow] = field(default_factory=OrderedDict)
     _unwritten: dict[str, None] = field(default_factory=dict)
     _unwritten_reports: dict[Incarnation, None] = field(default_factory=dict)
+    _own_clearances: OrderedDict[str, list[str]] = field(default_factory=OrderedDict)
+    _lost_clearances: dict[str, None] = field(default_factory=dict)
+    _deleted_keys: OrderedDict[str, None] = field(default_factory=OrderedDict)
     _refused_parts: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    _era: int = 0
 
     def __post_init__(self):
         self.feed = Feed(self.source, TABLE, self._apply, self.metrics, self.clock)
@@ -233,11 +240,16 @@
 
         :returns: whether nothing is left to be repeated.
         """
+        if not await self._write_lost_clearances():
+            return False
         parts = list(self._unwritten)[:N_ITEMS_MAX]
         if not parts:
             return True
         key = f"cleared.{uuid.uuid4().hex}"
         self._add_own_row(key)
+        self._own_clearances[key] = parts
+        if len(self._own_clearances) > _N_REPORTS_KEPT:
+            self._own_clearances.popitem(last=False)
         if not await self._write(
             [Put(build_row(key, Clearance(cleared=parts)))], "clear"
         ):
@@ -252,6 +264,20 @@
         )
         return True
 
+    async def _write_lost_clearances(self) -> bool:
+        """Write the own clearances again that a restored table lacks."""
+        keys = list(self._lost_clearances)[:_N_WRITES_MAX]
+        rows = [
+            build_row(key, Clearance(cleared=self._own_clearances[key]))
+            for key in keys
+            if key in self._own_clearances
+        ]
+        if rows and not await self._write([Put(row) for row in rows], "clear"):
+            return False
+        for key in keys:
+            del self._lost_clearances[key]
+        return not self._lost_clearances
+
     async def delete_old_rows(self) -> None:
         """Delete own rows after their retention, and those of other nodes later."""
         now = self.clock()
@@ -335,6 +361,10 @@
         )
 
     def _apply(self, rows: RowSet, is_full_table: bool) -> None:
+        if is_full_table and rows.era > self._era:
+            if self.feed.is_loaded:
+                self._handle_restore(rows)
+            self._era = rows.era
         # A clearance applies to the crashes before it, so the order matters.
         for row in sorted(rows.rows, key=lambda row: row.version):
             if row.value is None:
@@ -347,14 +377,46 @@
                 if key not in listed and row.version:
                     self._forget_row(key)
 
+    def _handle_restore(self, rows: RowSet) -> None:
+        """Have own rows written again that a restored table lacks or has older.
+
+        The other rows that are missing weren't deleted: their writers do the same.
+        """
+        listed = {row.key: digest(row.value) for row in rows.rows}
+        for key, row in self._rows.items():
+            if listed.get(key) == row.content:
+                continue
+            row.version = 0
+            if row.is_own and row.incarnation in self._reports:
+                self._drop_cleared_parts(row.incarnation)
+                self._unwritten_reports[row.incarnation] = None
+            elif key in self._own_clearances:
+                self._lost_clearances[key] = None
+
+    def _drop_cleared_parts(self, incarnation: Incarnation) -> None:
+        """Remove from a report the parts that were cleared after the crash.
+
+        A node that starts later reads the report after the clearance, and would count
+        the crash again.
+        """
+        key, report = self._reports[incarnation]
+        cleared = self.evidence.list_cleared(incarnation)
+        parts = {part: n for part, n in report.parts.items() if part not in cleared}
+        self._reports[incarnation] = (key, report.model_copy(update={"parts": parts}))
+
     def _apply_row(self, row: StoredRow, is_old: bool) -> None:
         known = self._rows.get(row.key)
-        if known is not None and (known.is_own or known.version == row.version):
+        content = digest(row.value)
+        if known is not None and (known.is_own or known.content == content):
             known.version = row.version
+            known.content = content
             return
         delete_at = self.clock() + _ABANDONED_AFTER_S * self.random.uniform(1.0, 1.25)
-        known = _KnownRow(row.version, delete_at)
+        known = _KnownRow(row.version, delete_at, content=content)
         self._add_row(row.key, known)
+        if row.key in self._deleted_keys:
+            # The row came back with a copy. It is deleted again, but doesn't count.
+            return
         try:
             content = parse_row(row.value)
         except ValueError as error:
@@ -387,6 +449,11 @@
 
     def _forget_row(self, key: str) -> None:
         row = self._rows.pop(key, None)
+        self._own_clearances.pop(key, None)
+        if row is not None:
+            self._deleted_keys[key] = None
+            if len(self._deleted_keys) > _N_ROWS_KEPT:
+                self._deleted_keys.popitem(last=False)
         if row is not None and row.incarnation is not None:
             self.evidence.forget_crash(row.incarnation)
             self._reports.pop(row.incarnation, None)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/suspects_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/suspects_steps.py
@@ -306,3 +306,26 @@
 def step_not_under_way(context):
     with patch.object(attempttracking.clocks, "monotonic", context.clock):
         assert not context.tracker.is_answering
+
+
+@when("the table of reports is copied")
+def step_copy_reports(context):
+    table = context.suspects_table
+    context.copied = (list(table.changes), dict(table.stored), dict(table.rows))
+
+
+@when("the table of reports comes back from the copy {n:d} times")
+def step_restore_reports(context, n):
+    for number in range(n):
+        table = context.suspects_table
+        changes, stored, rows = context.copied
+        table.changes, table.stored, table.rows = (
+            list(changes),
+            dict(stored),
+            dict(rows),
+        )
+        listed = tuple(sorted(stored.values(), key=lambda row: row.key))
+        for name, node in context.nodes.items():
+            context.n_read[name] = len(changes)
+            node._apply(RowSet(listed, len(changes), True, era=2 + number), True)
+        spread(context)
