Keep one cluster secret when the store comes back from a copy

Nodes that started after a restore couldn't speak with the running ones, in either direction, until all were restarted: the running ones read the secret only at their start.

Trace on the code as it was: a missing row stays missing until a node starts, which creates another secret. A row of another secret, from a node that started in between, is never read by the running nodes. Versions don't matter, because the row is only created.

With each new era, a node compares the secret. If the row is missing it writes its own, on condition that there is none; otherwise it adopts the one in the store for new connections. Its listener accepts the replaced one for an hour, so that peers that adopt later, or can't reach the store, can still call it; it proves that it knows the secret that the opener has used. A node that has adopted another secret may be refused by one that hasn't yet, until that one has read the row as well. Connections that are open stay open.

Both scenarios of clustersecret.feature failed with the comparison left out: the waits for the row and for the adoption ended at their limit of 10 s. With listeners that accept only the present secret, the second failed with peer_unauthenticated.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/clustersecret.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/clustersecret.py
@@ -1,7 +1,13 @@
-"""The shared secret with which nodes authenticate each other, kept in the store."""
+"""The shared secret with which nodes authenticate each other, kept in the store.
+
+A store that comes back from a copy may lack the secret, or hold another one that a node
+has created since. Each node then writes its secret again if there is none, and adopts
+the one in the store otherwise, so that all nodes end up with the same.
+"""
 
 import random
 import secrets
+from collections.abc import Callable
 
 import anyio
 from apricotlift.core import logs
@@ -14,9 +20,46 @@
 _RETRY_PAUSE_S = 0.25
 
 
-async def read_or_create_cluster_secret(table) -> bytes:
+class SecretKeeper:
+    """Reads the secret, and compares it again after a restore of the store.
+
+    :ivar secret: the secret that this node uses.
+    """
+
+    def __init__(self, table):
+        self.secret = b""
+        self._table = table
+        self._restored = anyio.Event()
+
+    async def load(self) -> bytes:
+        """Read the secret, or create it, and return it."""
+        self.secret = await read_or_create_cluster_secret(self._table)
+        return self.secret
+
+    def handle_restore(self) -> None:
+        """Have the secret in the store compared with this node's."""
+        self._restored.set()
+
+    async def run(self, adopt: Callable[[bytes], None]) -> None:
+        """Compare the secret after each restore, until cancelled.
+
+        :param adopt: is called with another secret that was found in the store.
+        """
+        while True:
+            await self._restored.wait()
+            self._restored = anyio.Event()
+            secret = await read_or_create_cluster_secret(self._table, self.secret)
+            if secret != self.secret:
+                logs.log(logs.WARNING, "secret_replaced")
+                self.secret = secret
+                adopt(secret)
+
+
+async def read_or_create_cluster_secret(table, own_secret: bytes = b"") -> bytes:
     """Return the cluster's secret, and create it if there is none.
 
+    :param own_secret: the secret to write if there is none; a new one if empty.
+
     Retries until the store is available. If another node creates the secret at the
     same time, the conditional write fails and that node's secret is read.
     """
@@ -25,7 +68,7 @@
             row = await table.get(PARTITION, ROW)
             if row is not None:
                 return str(row.values["secret"]).encode()
-            secret = secrets.token_hex(_SECRET_BYTES)
+            secret = own_secret.decode() or secrets.token_hex(_SECRET_BYTES)
             await table.transact([Put(Row(PARTITION, ROW, {"secret": secret}), ABSENT)])
             return secret.encode()
         except ApricotliftError as error:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -21,7 +21,7 @@
     CacheIndex,
     Holder,
 )
-from apricotlift.forwarding.clustersecret import read_or_create_cluster_secret
+from apricotlift.forwarding.clustersecret import SecretKeeper
 from apricotlift.forwarding.dialect import Dialect
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.entities import Server
@@ -99,12 +99,15 @@
         tasks.start_soon(routing_state.operator_feed.run)
         tasks.start_soon(routing_state.servers_feed.run)
         table = store.open_table("apricotlift")
-        secret = await read_or_create_cluster_secret(table)
+        secret_keeper = SecretKeeper(table)
+        store.watch_era(lambda _: secret_keeper.handle_restore())
+        secret = await secret_keeper.load()
         peer_network = await _join_cluster(
             stack, settings, table, secret, metrics, sockets
         )
         membership = peer_network.membership
         store.watch_era(lambda _: membership.handle_restore())
+        tasks.start_soon(secret_keeper.run, peer_network.replace_secret)
         node = _build_runtime(
             settings,
             dialect,
@@ -187,6 +190,11 @@
     pool: PeerPool
     server: PeerServer
 
+    def replace_secret(self, secret: bytes) -> None:
+        """Use another secret for new connections."""
+        self.pool.secret = secret
+        self.server.replace_secret(secret)
+
 
 async def _join_cluster(
     stack: AsyncExitStack, settings, table, secret: bytes, metrics: Metrics, sockets
--- a/packages/apricotlift-wire/src/apricotlift/wire/handshake.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/handshake.py
@@ -84,23 +84,25 @@
     other = await _receive_hello(link, own)
     await link.send(Proof(build_mac(secret, ProofSide.OPENER, own, other)))
     expected = build_mac(secret, ProofSide.LISTENER, own, other)
-    await _check_proof(link, expected, other)
+    await _check_proof(link, [expected], other)
     return _build_identity(other)
 
 
 async def authenticate_as_listener(
-    link: Link, identity: Identity, secret: bytes
+    link: Link, identity: Identity, *secrets: bytes
 ) -> Identity:
     """Run the listener's side of the handshake and return the opener's identity.
 
+    :param secrets: the cluster secret, and earlier ones that peers may still use. The
+        listener proves that it knows the one that the opener has used.
     :raises ApricotliftError: as :func:`authenticate_as_opener`.
     """
     own = build_hello(identity)
     other = await _receive_hello(link, own)
     await link.send(own)
-    expected = build_mac(secret, ProofSide.OPENER, other, own)
-    await _check_proof(link, expected, other)
-    await link.send(Proof(build_mac(secret, ProofSide.LISTENER, other, own)))
+    expected = [build_mac(secret, ProofSide.OPENER, other, own) for secret in secrets]
+    index = await _check_proof(link, expected, other)
+    await link.send(Proof(build_mac(secrets[index], ProofSide.LISTENER, other, own)))
     return _build_identity(other)
 
 
@@ -133,13 +135,16 @@
     return hello
 
 
-async def _check_proof(link: Link, expected: bytes, hello: Hello) -> None:
+async def _check_proof(link: Link, expected: list[bytes], hello: Hello) -> int:
+    """Return the index of the expected proof that the peer has sent."""
     proof = await _receive(link, Proof)
-    if not hmac.compare_digest(proof.mac, expected):
+    matches = [hmac.compare_digest(proof.mac, mac) for mac in expected]
+    if not any(matches):
         raise ApricotliftError(
             Code.PEER_UNAUTHENTICATED,
             f"peer that claims to be {hello.node_id[:40]!r} sent an invalid proof",
         )
+    return matches.index(True)
 
 
 async def _receive(link: Link, expected: type[_T]) -> _T:
--- a/packages/apricotlift-wire/src/apricotlift/wire/listener.py
+++ b/packages/apricotlift-wire/src/apricotlift/wire/listener.py
@@ -25,6 +25,10 @@
 PEER_PATH = "/peer"
 
 HANDSHAKE_TIMEOUT_S = 5.0
+
+#: A replaced secret is accepted for this time, because some peers learn of the new one
+#: later, for example those that cannot reach the store.
+EARLIER_SECRET_S = 3600.0
 PING_INTERVAL_S = 10.0
 CLOSE_TIMEOUT_S = 2.0
 
@@ -71,6 +75,8 @@
         self._socket = listening_socket
         self._get_identity = get_identity
         self._secret = secret
+        # Secrets that were replaced, with the time until which they are accepted.
+        self._earlier_secrets: dict[bytes, float] = {}
         self._metrics = metrics
         self._tls = tls
         self._handlers: dict[str, Handler] = {}
@@ -78,6 +84,21 @@
         self._n_connections = 0
         self._stack = AsyncExitStack()
 
+    def replace_secret(self, secret: bytes) -> None:
+        """Authenticate with another secret, and accept the present one for a while."""
+        check_secret(secret)
+        until = anyio.current_time() + EARLIER_SECRET_S
+        self._earlier_secrets[self._secret] = until
+        self._earlier_secrets.pop(secret, None)
+        self._secret = secret
+
+    def _list_secrets(self) -> list[bytes]:
+        now = anyio.current_time()
+        for secret, until in list(self._earlier_secrets.items()):
+            if until < now:
+                del self._earlier_secrets[secret]
+        return [self._secret, *self._earlier_secrets]
+
     def register(self, message_class: type[Message], handler: Handler) -> None:
         """Set the handler of a message kind.
 
@@ -141,7 +162,7 @@
         try:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 return await authenticate_as_listener(
-                    link, self._get_identity(), self._secret
+                    link, self._get_identity(), *self._list_secrets()
                 )
         except ApricotliftError as error:
             count_close(self._metrics, "listener", error)
