Count fencing numbers on from the highest one that a node has seen

A node gave out its own fencing numbers again when the lease row had gone back or was missing, in a table that doesn't state its era: orders with fence 1 after the restore as before it. This is the case of the product's own node (`enginereconciler`, `loadslots`), whose table service may be restored from a backup while nodes run.

A node now acquires with a number above all those that it has read or written.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/restoredlease.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/restoredlease.feature
@@ -103,3 +103,14 @@
     When 1 seconds pass in the cluster
     And version 2 is named and the first order is sent
     Then the first order comes within 1.2 seconds after the naming
+
+  # Guards against a node that gives out its own fencing numbers again, where the table
+  # doesn't state its era.
+  Scenario: A node counts on from the highest fencing number that it has seen
+    Given the store states no era
+    When the store is copied with no lease row
+    And version 2 is named and the first order is sent
+    And 15 seconds pass in the cluster
+    And the store comes back from the copy
+    And version 3 is named and the first order is sent
+    Then the lease holder's fencing numbers rise
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -450,3 +450,17 @@
         world.table.rows[(LEASE_PARTITION, LEASE_ROW)] = row | {"held": lease == "held"}
         anyio.run(advance, world, 5)
     step_copy(context)
+
+
+@given("the store states no era")
+def step_no_era(context):
+    for rollout in context.world.nodes.values():
+        rollout.get_era = lambda: 0
+
+
+@then("the lease holder's fencing numbers rise")
+def step_own_fences_rise(context):
+    orders = context.world.orders
+    before = {order[4] for order in orders if order[3] == 2}
+    after = {order[4] for order in orders if order[3] == 3}
+    assert max(before) < min(after), orders
--- a/packages/apricotlift-state/src/apricotlift/state/tableleases.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tableleases.py
@@ -103,6 +103,9 @@
         self._row: Row | None = None
         self._observed_fence_and_beat: tuple[Value, Value] | None = None
         self._unchanged_since = 0.0
+        # Highest number that this process has seen: without an era, a restored row may
+        # be lower or missing.
+        self._highest_fence = 0
         self._era = get_era()
         self._first_era = self._era
         self._era_seen_at = clock()
@@ -168,7 +171,7 @@
         :raises ApricotliftError: ``table_unavailable``.
         """
         era = self._note_era()
-        min_fence = max(min_fence, era * FENCES_PER_ERA)
+        min_fence = max(min_fence, era * FENCES_PER_ERA, self._highest_fence)
         row = await self._table.get(self._pk, self._sk)
         if self._note_era() != era:
             return False
@@ -244,6 +247,7 @@
 
     def _record_state(self, row: Row) -> None:
         state = (row.values["fence"], row.values["beat"])
+        self._highest_fence = max(self._highest_fence, int(row.values["fence"]))
         if state != self._observed_fence_and_beat:
             self._observed_fence_and_beat = state
             self._unchanged_since = self._clock()
@@ -283,6 +287,7 @@
         if self._note_era() != era:
             return False
         self._row = row
+        self._highest_fence = max(self._highest_fence, fence)
         if held:
             self._valid_until = started_at + self._settings.lease_s
             sole_s = _LAST_HOLDER_SHARE * self._settings.takeover_wait_s
