--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -21,7 +21,7 @@
     CacheIndex,
     Holder,
 )
-from apricotlift.forwarding.clustersecret import read_or_create_cluster_secret
+from apricotlift.forwarding.clustersecret import SecretKeeper
 from apricotlift.forwarding.dialect import Dialect
 from apricotlift.forwarding.engineloads import EngineLoads
 from apricotlift.forwarding.entities import Server
@@ -98,11 +98,15 @@
         tasks.start_soon(routing_state.operator_feed.run)
         tasks.start_soon(routing_state.servers_feed.run)
         table = store.open_table("apricotlift")
-        secret = await read_or_create_cluster_secret(table)
+        secret_keeper = SecretKeeper(table)
+        store.watch_era(lambda _: secret_keeper.handle_restore())
+        secret = await secret_keeper.load()
         peer_network = await _join_cluster(
             stack, settings, table, secret, metrics, sockets
         )
         membership = peer_network.membership
+        store.watch_era(lambda _: membership.handle_restore())
+        tasks.start_soon(secret_keeper.run, peer_network.replace_secret)
         node = _build_runtime(
             settings,
             dialect,
@@ -131,6 +135,7 @@
             lambda server: _announce_weight_load(node, server),
             settings.bounds.order_lease_ms / 1000,
             metrics,
+            get_era=lambda: store.era,
         )
         store_cleaner = StoreCleaner(
             settings.node.name,
@@ -184,6 +189,11 @@
     pool: PeerPool
     server: PeerServer
 
+    def replace_secret(self, secret: bytes) -> None:
+        """Use another secret for new connections."""
+        self.pool.secret = secret
+        self.server.replace_secret(secret)
+
 
 async def _join_cluster(
     stack: AsyncExitStack, settings, table, secret: bytes, metrics: Metrics, sockets
@@ -414,7 +424,12 @@
 
 
 class StorePort(EraSource):
-    """The client of the platform's store."""
+    """The client of the platform's store.
+
+    :ivar era: newest known era of the store; 0 until one is known.
+    """
+
+    era: int
 
     def watch_era(self, callback: Callable[[int], None]) -> None:
         """Have the callback called with each new era of the store."""
--- a/packages/apricotlift-state/src/apricotlift/state/tests/steps/memberlease_steps.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tests/steps/memberlease_steps.py
@@ -7,7 +7,12 @@
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.platform.table import Row
-from apricotlift.state.memberlease import Lease, parse_summary_row, write_for_peer
+from apricotlift.state.memberlease import (
+    MEMBER_PK,
+    Lease,
+    parse_summary_row,
+    write_for_peer,
+)
 from apricotlift.state.tests.membership_fakes import (
     FakeClock,
     FakeTable,
@@ -247,3 +252,24 @@
     summary = parse_summary_row(row)
     assert summary is not None and summary.incarnation == context.lease.incarnation
     assert summary.incarnation[0] == "0" and row.values["renewal"] < 2**63, row
+
+
+@when("the table comes back with {row} of node-a")
+def restore_rows(context, row):
+    rows = context.rows_table.rows
+    if row == "no row":
+        del rows["node-a"]
+    else:
+        values = {**rows["node-a"].values, "renewal": 1, "state": "serving"}
+        if row == "the row of an earlier process":
+            values["incarnation"] = "0" * 20
+        rows["node-a"] = Row(MEMBER_PK, "node-a", values)
+    context.lease.handle_restore()
+
+
+@then("the membership lease keeps its incarnation")
+def check_same_incarnation(context):
+    assert not context.lease.is_superseded
+    assert context.lease.incarnation == context.old_incarnation
+    row = context.rows_table.rows["node-a"]
+    assert row.values["incarnation"] == context.old_incarnation, row
