Write a log line although one of its fields can't be encoded

A field with a number of more than 4,300 digits or a map with keys of bytes lost the line (ValueError and TypeError in the formatter), and one that is nested deeply raised RecursionError out of the log call, because logging passes that error on. All 3 rows of the scenario failed, one with 'RecursionError: maximum recursion depth exceeded while encoding a JSON object'. The line is now written with its event and the name of the fault.

--- a/packages/apricotlift-core/src/apricotlift/core/logs.py
+++ b/packages/apricotlift-core/src/apricotlift/core/logs.py
@@ -152,7 +152,12 @@
             line.update(fields)
         if record.exc_info and record.exc_info[0]:
             line["exception"] = self.formatException(record.exc_info)
-        return json.dumps(line, default=str)
+        try:
+            return json.dumps(line, default=str)
+        # A value from elsewhere may be nested too deeply, or a number too large.
+        except (TypeError, ValueError, RecursionError) as error:
+            kept = {key: line[key] for key in ("time", "level", "component", "event")}
+            return json.dumps({**kept, "fields_left_out": type(error).__name__})
 
 
 def configure(
--- a/packages/apricotlift-core/src/apricotlift/core/tests/logs.feature
+++ b/packages/apricotlift-core/src/apricotlift/core/tests/logs.feature
@@ -20,3 +20,15 @@
     Given a rate of 10 lines a second with 5 at once
     When 100 lines are requested within a second
     Then at most 15 are written and the others are counted
+
+  # Guards against a log call that raises, or a line that is lost, because of a value that
+  # JSON can't hold.
+  Scenario Outline: A line with a field that can't be encoded is written without it
+    When a line is logged with <value> in a field
+    Then the line names its event and the fault of its fields
+
+    Examples:
+      | value                       |
+      | a number of 5000 digits     |
+      | a list nested 100000 deep   |
+      | a map with a key of bytes   |
--- a/packages/apricotlift-core/src/apricotlift/core/tests/steps/logs_steps.py
+++ b/packages/apricotlift-core/src/apricotlift/core/tests/steps/logs_steps.py
@@ -1,7 +1,10 @@
+import contextlib
+import io
 import json
 import os
 import time
 
+from apricotlift.core import logs
 from apricotlift.core.logs import LineRateLimiter, NonBlockingLineWriter
 from behave import given, then, when
 
@@ -63,3 +66,34 @@
 def check_limit(context, n):
     assert context.n_taken <= n, context.n_taken
     assert context.limiter.n_refused == context.n_requested - context.n_taken
+
+
+def build_nested_list(depth):
+    value = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+_UNENCODABLE = {
+    "a number of 5000 digits": 10**5000,
+    "a list nested 100000 deep": build_nested_list(100_000),
+    "a map with a key of bytes": {b"key": 1},
+}
+
+
+@when("a line is logged with {value} in a field")
+def log_unencodable(context, value):
+    output = io.StringIO()
+    with contextlib.redirect_stderr(output):
+        logs.configure("logs-tests")
+        logs.log(logs.WARNING, "odd_value", value=_UNENCODABLE[value])
+    logs.configure("logs-tests")
+    context.output = output.getvalue()
+
+
+@then("the line names its event and the fault of its fields")
+def check_fault_named(context):
+    (text,) = context.output.splitlines()
+    line = json.loads(text)
+    assert line["event"] == "odd_value" and line["fields_left_out"], line
