Test real nodes whose rows the restored store lacks

The scenario takes the copy before the nodes start, goes back to it, and looks at the store's rows, the directories and a node that starts afterwards.

--- a/features/restoredstore.feature
+++ b/features/restoredstore.feature
@@ -33,3 +33,12 @@
     Then the node "n1" logs that the store was restored as era 2
     When the client gets "/lookup/a" 10 times from "n1"
     Then the server "i-1" received no request
+
+  # Guards against nodes that no longer know each other, or that a node that starts can't
+  # speak with, because the copy is from before they started.
+  Scenario: Nodes stay members although the copy lacks all of their rows
+    Given a store, 2 servers, a copy of the store, and the nodes "n1, n2"
+    When the store comes back from the copy
+    Then the store soon has the nodes' member rows, lease row and cluster secret
+    And the directories of "n1, n2" list 2 nodes for 6 seconds
+    And the directories of "n1, n2, n3" list 3 nodes after "n3" has started
--- a/features/steps/restoredstore_steps.py
+++ b/features/steps/restoredstore_steps.py
@@ -1,14 +1,23 @@
 """Steps with a store that comes back from a copy."""
 
+import json
+import time
+
 from behave import given, then, when
 
 from features.forwardingfleet import (
+    HOST,
     build_configuration,
+    get_address,
     post_control,
     put_row,
     put_server,
     read_server_records,
+    send_http_request,
+    start_node,
+    start_servers,
 )
+from features.waiting import wait_until
 
 _DRAINING = "draining"
 
@@ -67,3 +76,64 @@
 def step_no_request(context, server):
     seen = [entry["server"] for entry in read_server_records(context)["seen"]]
     assert seen and server not in seen, seen
+
+
+@given('a store, {n:d} servers, a copy of the store, and the nodes "{names}"')
+def step_store_copied_first(context, n, names):
+    context.ports = {}
+    context.nodes = {}
+    store = context.processes.start_module("rowstore", "standins.rowstore")
+    context.store_address = store.get_address()
+    servers = [f"i-{number}" for number in range(1, n + 1)]
+    context.servers = start_servers(context, "opaque", servers, n)
+    put_row(context, "op", "config", build_configuration(5))
+    for server, address in context.servers.items():
+        put_server(context, server, address)
+    step_copy(context)
+    for name in names.split(", "):
+        start_node(context, name)
+    for name in context.nodes:
+        wait_until(lambda name=name: count_listed(context, name) == len(context.nodes))
+
+
+def count_listed(context, name):
+    target = f"/resolve?name={HOST}&region=r&zone=z1"
+    address = get_address(context, name, "directory")
+    status, _, body = send_http_request(address, "GET", target)
+    return len(json.loads(body)["addresses"]) if status == 200 else 0
+
+
+def read_keys(context, part):
+    target = f"/rows-get?table=apricotlift&part={part}&limit=500"
+    status, _, body = send_http_request(context.store_address, "GET", target)
+    return (
+        sorted(row["key"] for row in json.loads(body)["rows"]) if status == 200 else []
+    )
+
+
+@then("the store soon has the nodes' member rows, lease row and cluster secret")
+def step_rows_again(context):
+    expected = {
+        "member": sorted(context.nodes),
+        "orders": ["weights"],
+        "cluster": ["secret"],
+    }
+    for part, keys in expected.items():
+        wait_until(lambda part=part, keys=keys: read_keys(context, part) == keys, 10.0)
+
+
+@then('the directories of "{names}" list {n:d} nodes for {seconds:d} seconds')
+def step_listed_for(context, names, n, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for name in names.split(", "):
+            n_listed = count_listed(context, name)
+            assert n_listed == n, (name, n_listed)
+        time.sleep(0.1)
+
+
+@then('the directories of "{names}" list {n:d} nodes after "{started}" has started')
+def step_listed_after_start(context, names, n, started):
+    start_node(context, started)
+    for name in names.split(", "):
+        wait_until(lambda name=name: count_listed(context, name) == n, 20.0)
