--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
@@ -156,8 +156,10 @@
     :param started_ms: time of its start in Unix milliseconds; another start may use the
         same id.
     :param weights: loaded weight version by model.
+    :param write_number: rises with each write of the entry by this incarnation; a write
+        that changes nothing else doesn't make another server.
     :param n_orders: number of orders that it has accepted since its start, ``None``
-        where it isn't known. It may be outdated while an order is carried out.
+        where the entry doesn't state it.
     """
 
     server_id: str
@@ -168,6 +170,7 @@
     n_slots: int = 1
     started_ms: int = 0
     weights: dict[str, int] = field(default_factory=dict)
+    write_number: int = field(default=0, compare=False)
     n_orders: int | None = None
 
     @property
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders.feature
@@ -14,6 +14,14 @@
       | 6  |
       | 30 |
 
+  # Guards against orders that state no count, because the entries of the engines don't.
+  Scenario: Engines whose entries show no order count don't go back either
+    Given 6 engines that carry out orders 2 to 12 seconds late, in 20 runs
+    And the entries of the engines show no order count
+    When versions 2, 3 and 4 are named 6 seconds apart
+    Then 23 seconds after the last naming all engines have version 4 in each run
+    And no engine has gone back to an older version in any run
+
   # Guards against late orders after which too few engines are left to serve.
   Scenario Outline: Orders that are carried out late leave some engines serving
     Given <n> engines that carry out orders 2 to 12 seconds late, in 20 runs
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders_fakes.py
@@ -79,6 +79,7 @@
 
     :param delay_s: shortest and longest time after which an order is carried out.
     :param n_unreachable: engines, the first ones by id, that orders don't reach.
+    :param are_counts_listed: whether entries in the store show order counts.
     :param orders: time, engine and version of the orders sent.
     :param n_reports: calls for a report.
     :param n_loading_max: the most engines that loaded at the same time.
@@ -88,6 +89,7 @@
     n_engines: int
     delay_s: tuple[float, float] = LATE_S
     n_unreachable: int = 0
+    are_counts_listed: bool = True
     clock: Clock = field(default_factory=Clock)
     engines: dict[str, LateEngine] = field(init=False)
     orders: list = field(default_factory=list)
@@ -114,7 +116,11 @@
         )
         for name in names:
             server = Server(name, "svc", "10.0.0.1:80", "z1", weights={MODEL: 1})
-            routing_state.servers[name] = replace(server, n_orders=0)
+            routing_state.servers[name] = replace(server, n_orders=self.count_listed(0))
+
+    def count_listed(self, n_orders: int) -> int | None:
+        """Return the order count that an engine's entry shows."""
+        return n_orders if self.are_counts_listed else None
 
     @property
     def unreachable(self) -> list[str]:
@@ -163,7 +169,11 @@
         servers = self.rollout.routing_state.servers
         for name, server in servers.items():
             version, n_orders = self.engines[name].entry
-            servers[name] = replace(server, weights={MODEL: version}, n_orders=n_orders)
+            servers[name] = replace(
+                server,
+                weights={MODEL: version},
+                n_orders=self.count_listed(n_orders),
+            )
 
 
 @dataclass
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/lateorders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/lateorders_steps.py
@@ -22,6 +22,12 @@
     ]
 
 
+@given("the entries of the engines show no order count")
+def step_no_listed_counts(context):
+    for cluster in context.clusters:
+        cluster.are_counts_listed = False
+
+
 @given("orders don't reach the first {n:d} engines")
 def step_unreachable(context, n):
     for cluster in context.clusters:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -64,6 +64,7 @@
     :param list_live_nodes: returns the names of the live nodes, this one included.
     :param announce_load: tells all nodes that an engine is ordered to load weights.
     :param order_lease_s: shortest time between orders of two lease holders.
+    :param get_era: returns the newest known era of the store.
     """
 
     own_name: str
@@ -76,6 +77,7 @@
     order_lease_s: float
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
+    get_era: Callable[[], int] = lambda: 0
     _sent_orders: SentOrders = field(default_factory=dict)
     _last_order_at: float = float("-inf")
     _next_acquire_at: float = 0.0
@@ -91,6 +93,7 @@
             self.metrics,
             LeaseSettings(_LEASE_DURATION_S, takeover_wait_s),
             self.clock,
+            lambda: self.get_era(),
         )
 
     async def run(self) -> None:
@@ -114,6 +117,7 @@
             await self._lease.release()
 
     async def _run_once(self) -> None:
+        await self._lease.ensure_row()
         outdated = self.routing_state.list_outdated_engines()
         if not outdated:
             self._sent_orders.clear()
@@ -182,8 +186,13 @@
     async def _send_order(self, order: DueOrder) -> None:
         server = order.server
         n_orders = server.n_orders
-        if is_count_doubtful(self._sent_orders, order, self.clock()):
+        is_doubtful = is_count_doubtful(self._sent_orders, order, self.clock())
+        if n_orders is None or is_doubtful:
             n_orders = await self._read_order_count(server)
+        if n_orders is None:
+            # An order that states no count could be carried out after a newer one.
+            record_order(self._sent_orders, order, None, self.clock())
+            return
         weight_order = WeightOrder(
             order.model,
             order.version,
@@ -222,7 +231,7 @@
         )
 
     async def _read_order_count(self, server: Server) -> int | None:
-        """Ask a server for its order count; return that of its entry on failure."""
+        """Ask a server for its order count; return that of its entry, if any, on failure."""
         call = self.dialect.build_report_call(server)
         try:
             response = await self.handles.get(server).connections.request(
--- a/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
+++ b/packages/apricotlift-wire/src/apricotlift/wire/tests/connections.feature
@@ -81,6 +81,7 @@
     Then the digest "refuse" is answered with overloaded
     And the digest "fail" is answered with internal
     And the digest "huge" is answered with frame_too_large
+    And the digest "surrogate" is answered with peer_protocol
     And a message kind without handler is answered with not_found
     And all these requests used one peer connection
 
@@ -115,3 +116,18 @@
     Guards against frames that are sent in plain text although the settings require TLS.
     Given a peer server with a TLS context
     Then a pool with TLS reaches it and a plain-text pool doesn't
+
+  Scenario Outline: An unusable address of one peer doesn't end the pool
+    Guards against a member row with an address that ends the process of each node that
+    reads it.
+    Given a peer server that echoes digests
+    When a pool sends a request to the address "<address>"
+    Then that request fails with peer_unreachable and the pool still reaches the server
+
+    Examples:
+      | address            |
+      | 127.0.0.1:99999    |
+      | 127.0.0.1:abc      |
+      | [::1:80            |
+      | \ud800:80          |
+      | (300 letters):80   |
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -5,10 +5,13 @@
 ``x-script`` lists behaviours separated by commas: the n-th one applies when the request
 id arrives for the n-th time at any of the addresses, and the last one from then on.
 ``GET /_seen`` returns the received requests and weight orders, and ``POST /_dead`` sets
-which servers close each connection. From the behaviour ``leaving:STATUS`` on, each
+which servers close each connection. ``stray:DESCRIPTION`` runs the request, but sends
+a response that :mod:`standins.strayresponses` describes before its own; with
+``twice:DESCRIPTION`` and ``joined:DESCRIPTION`` it follows the own response, later or
+together with it. From the behaviour ``leaving:STATUS`` on, each
 response of that server says that it leaves; ``busy:SECONDS`` refuses a request and asks
-for a pause. The servers also load weights as engines do, and answer ``/kv-events``
-without any events.
+for a pause; ``quiet:N:SECONDS:LAST`` pauses a stream after event N. The servers also
+load weights as engines do, and answer ``/kv-events`` without any events.
 """
 
 import contextlib
@@ -25,6 +28,7 @@
 
 from standins.endless import EndlessState, send_without_end
 from standins.framing import send_close_delimited
+from standins.strayresponses import build_stray_response
 
 _EVENT_INTERVAL_S = 0.02
 _WEIGHT_LOAD_S = 0.1
@@ -40,6 +44,7 @@
     :param n_arrivals: how often each request id has arrived.
     :param weights: version of each model by server.
     :param orders: received orders to load weights.
+    :param n_accepted: number of accepted orders by server.
     :param dead_servers: servers that close each connection without an answer.
     :param leaving_servers: servers that say in each response that they leave.
     :param n_connections: connections accepted so far.
@@ -51,6 +56,7 @@
     n_arrivals: dict[str, int] = field(default_factory=dict)
     weights: dict[str, dict[str, int]] = field(default_factory=dict)
     orders: list[dict] = field(default_factory=list)
+    n_accepted: dict[str, int] = field(default_factory=dict)
     dead_servers: set[str] = field(default_factory=set)
     leaving_servers: set[str] = field(default_factory=set)
     n_connections: int = 0
@@ -127,6 +133,9 @@
         await anyio.sleep(int(request.headers.get("wait-ms", "0")) / 1000)
         events = {"bootEpoch": 1, "next": 1, "lost": False, "events": []}
         await _send_response(connection, stream, 200, {}, json.dumps(events).encode())
+    elif path == "/report":
+        report = {"seq": state.n_accepted.get(name, 0)}
+        await _send_response(connection, stream, 200, {}, json.dumps(report).encode())
     elif path == "/order":
         await _handle_weight_order(state, name, connection, stream, request)
     else:
@@ -138,6 +147,11 @@
 ) -> None:
     order = json.loads(request.body)
     state.orders.append({**order, "server": name, "at": time.monotonic()})
+    n_accepted = state.n_accepted.get(name, 0)
+    if order.get("expectedRevision", n_accepted) != n_accepted:
+        await _send_response(connection, stream, 409, {}, b"")
+        return
+    state.n_accepted[name] = n_accepted + 1
     await _send_response(connection, stream, 202, {}, b"")
     await anyio.sleep(_WEIGHT_LOAD_S)
     _get_weights(state, name)[order["model"]] = order["version"]
@@ -168,7 +182,8 @@
     expected_weights = request.headers.get("x-expect-version")
     if expected_weights and int(expected_weights) != _get_weights(state, name).get("m"):
         entry["ran"] = False
-        await _send_response(connection, stream, 421, {"x-instance-id": name}, b"")
+        misdirected_headers = {"x-request-id": request_id, "x-instance-id": name}
+        await _send_response(connection, stream, 421, misdirected_headers, b"")
         return
     own_headers = {"x-request-id": request_id, "x-server-stamp": f"stamp.{name}"}
     if behaviour == "leaving":
@@ -206,16 +221,27 @@
         await _send_response(
             connection, stream, 200, {"x-request-id": request_id}, body
         )
-    elif behaviour == "twice":
+    elif behaviour == "stray":
+        await stream.send(build_stray_response(argument, request_id, name))
         await _send_response(connection, stream, 200, own_headers, body)
-        await stream.send(_EXTRA_RESPONSE)
-    elif behaviour == "joined":
-        await _send_response(
-            connection, stream, 200, own_headers, body, _EXTRA_RESPONSE
-        )
+    elif behaviour in ("twice", "joined"):
+        extra = _EXTRA_RESPONSE
+        if argument:
+            extra = build_stray_response(argument, request_id, name)
+        if behaviour == "joined":
+            await _send_response(connection, stream, 200, own_headers, body, extra)
+        else:
+            await _send_response(connection, stream, 200, own_headers, body)
+            await stream.send(extra)
     elif behaviour == "hang":
         entry["left_early"] = await _wait_for_close(stream)
         raise _ConnectionClosed
+    elif behaviour == "quiet":
+        entry["left_early"] = await _send_interrupted_stream(
+            connection, stream, request, own_headers, argument
+        )
+        if entry["left_early"]:
+            raise _ConnectionClosed
     elif behaviour == "endless":
         await send_without_end(stream, argument, own_headers, state.endless)
         entry["left_early"] = True
@@ -280,6 +306,36 @@
     await stream.send(connection.send(h11.EndOfMessage()))
 
 
+async def _send_interrupted_stream(
+    connection, stream, request, own_headers, argument: str
+) -> bool:
+    """Send an event stream with a pause in it.
+
+    :param argument: ``N:SECONDS:LAST``: the pause follows event N; for N = 0 it comes
+        before the head of the response.
+    :returns: whether the client closed the connection during the pause.
+    """
+    n_before, pause_s, last = argument.split(":")
+    headers = [*own_headers.items(), ("content-type", "text/event-stream")]
+    data = connection.send(h11.Response(status_code=200, headers=headers))
+    first_event_number = _get_first_event_number(request)
+    pause_before = int(n_before) + 1 if int(n_before) else first_event_number
+    for number in range(first_event_number, int(last) + 1):
+        if number == pause_before:
+            if int(n_before):
+                await stream.send(data)
+                data = b""
+            with anyio.move_on_after(float(pause_s)) as scope:
+                await _wait_for_close(stream)
+            if not scope.cancelled_caught:
+                return True
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        data += connection.send(h11.Data(data=event))
+    await stream.send(data)
+    await stream.send(connection.send(h11.EndOfMessage()))
+    return False
+
+
 def _get_first_event_number(request: _Request) -> int:
     return int(request.headers.get("last-event-id", "0")) + 1
 
