Read the order count from the engine's report

That number counts the writes of the entry, not the orders; entries showed 1 where reports showed 0.

The fakes of the rollout answer reports.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/lateorders_fakes.py
@@ -102,6 +102,8 @@
         names = [f"e{number:03}" for number in range(self.n_engines)]
         self.engines = {name: LateEngine() for name in names}
         routing_state = RoutingState(build_dialect(), self, Metrics(), self.clock)
+        routing_state.operator_feed.is_loaded = True
+        routing_state.servers_feed.is_loaded = True
         self.rollout = WeightRollout(
             "n1",
             build_dialect(),
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/orders_steps.py
@@ -92,6 +92,8 @@
     async def request(self, call, timeout_s, max_bytes=0):
         world = self.world
         name = self.server.server_id
+        if call.target == "/report":
+            return Response(200, {}, b"0")
         _, version, fence, _ = json.loads(call.body)
         world.orders.append((world.clock(), self.node, name, version, fence))
         if world.is_first_order_lost and len(world.orders) == 1:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -231,7 +231,7 @@
         )
 
     async def _read_order_count(self, server: Server) -> int | None:
-        """Ask a server for its order count; return that of its entry, if any, on failure."""
+        """Ask a server for its order count; on failure, return that of its entry."""
         call = self.dialect.build_report_call(server)
         try:
             response = await self.handles.get(server).connections.request(
