Let only a better second attempt replace one at a silent server

A review showed answers that were cut off although the first server would have gone on: a second server that ended its stream without an event, sent only a head, or a failure of its own replaced the first attempt.

A second attempt now replaces the first one only with an event that the client doesn't have, or with a whole successful response, and only while the first one is still silent. The task that opens it ends when the first attempt has ended in the same moment; it failed on a missing attempt then. Crash checks of both attempts are waited for. A node also notes the fencing number that it sees when it looks for a missing lease row.

--- a/features/silentservers.feature
+++ b/features/silentservers.feature
@@ -21,6 +21,24 @@
     When a client posts "/long/a" with the script "quiet:2:2.5:6,close_delimited:body_stall" to "n1"
     Then the client gets 200 with the events 1 to 6 once each
 
+  Scenario: A stream isn't cut off at a silent server while another ends without events
+    When a client posts "/long/a" with the script "quiet:2:2.5:6,stream:0" to "n1"
+    Then the client gets 200 with the events 1 to 6 once each
+
+  Scenario: A prompt isn't cut off at a silent server while another ends without events
+    When a client posts "/long/a" with the script "quiet:0:2.5:6,stream:0,hang" to "n1"
+    Then the client gets 200 with the events 1 to 6 once each
+
+  Scenario Outline: A slow response is waited for while another server sends none
+    When a client using the script "<script>" gets "/lookup/a" from "n1"
+    Then the client gets 200 with the response and the stamp of a server
+
+    Examples:
+      | script                             |
+      | slow:1.5,close_delimited:body_stall |
+      | slow:1.5,status:404                 |
+      | slow:1.5,hang                       |
+
   Scenario: A stream isn't cut off at a silent server while the others are silent too
     When a client posts "/long/a" with the script "quiet:2:2.5:6,hang" to "n1"
     Then the client gets 200 with the events 1 to 6 once each
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/attempttracking.py
@@ -180,7 +180,7 @@
         )
         check = node.suspects.begin_check(handle.server, broken, node.tasks.start_soon)
         if placement is not None and not tracker.is_answering:
-            request_state.crash_check = check
+            request_state.crash_checks.append(check)
     if error.code in NOT_SENT_CODES:
         return None
     if error.code is Code.UPSTREAM_CONNECT:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/hedging.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/hedging.py
@@ -13,14 +13,16 @@
 from apricotlift.core import logs
 from apricotlift.core.errors import ApricotliftError, Code, Ran, Scope
 from apricotlift.forwarding.attempts import Dispatch
-from apricotlift.forwarding.events import EventSplitter
+from apricotlift.forwarding.events import EventSplitter, ServerSentEvent
 from apricotlift.forwarding.placement import Placement
 from apricotlift.forwarding.requeststate import ClientResponse, RequestState
 from apricotlift.forwarding.responses import (
+    MAX_RESPONSE_BYTES,
     check_event,
     compute_response_due_at,
     forward_response,
-    is_event_stream,
+    is_forwarded_as_stream,
+    is_new_event,
 )
 from apricotlift.forwarding.retrydecisions import (
     record_failed_hedge,
@@ -36,8 +38,7 @@
 #: Interval at which an attempt is looked at while it waits for the client.
 _CLIENT_WAIT_INTERVAL_S = 0.1
 
-_STATUS_OK = 200
-_MIN_SERVER_ERROR_STATUS = 500
+_MIN_REDIRECT_STATUS = 300
 
 
 @dataclass
@@ -105,6 +106,7 @@
                 failure = error
                 self._current = None
                 await self._wait_for_opening()
+            self._current = None
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
@@ -127,6 +129,9 @@
         last_reason = None
         while self.request_state.may_try_another:
             await self._wait_until_silent()
+            if self._current is None:
+                # The attempt has ended in the moment in which the wait did.
+                return
             reason = await self._ask_another()
             if self.successor is not None:
                 return
@@ -136,7 +141,8 @@
             await anyio.sleep(_RECHECK_INTERVAL_S)
 
     async def _wait_until_silent(self) -> None:
-        while not self._is_silent():
+        """Wait until the current attempt is silent or has ended."""
+        while self._current is not None and not self._is_silent():
             left_s = self._current.silent_in_s
             await anyio.sleep(max(_CLIENT_WAIT_INTERVAL_S, left_s))
 
@@ -187,10 +193,7 @@
                     raise failure
                 self._replace_current(attempt, stack)
                 return
-            # The current attempt went on.
-            attempt.tracker.abandon()
-            self.request_state.n_possibly_run += 1
-            self.request_state.tried_server_ids.add(attempt.server_id)
+            self._abandon(attempt)
 
     async def _wait_for_answer(
         self, attempt: RunningAttempt
@@ -202,13 +205,19 @@
         try:
             await attempt.open(self.node, self.request_state)
             self._check_successor(attempt)
-            if is_event_stream(attempt.upstream_response):
+            if self.request_state.request.route.is_stream:
                 await self._read_first_event(attempt)
+            else:
+                attempt.body = await attempt.upstream_response.read(MAX_RESPONSE_BYTES)
         except ApricotliftError as error:
             return error
         return None
 
     async def _read_first_event(self, attempt: RunningAttempt) -> None:
+        """Read a stream up to an event that the client doesn't have.
+
+        :raises ApricotliftError: if there is none, or an invalid one.
+        """
         upstream_response = attempt.upstream_response
         chunks = upstream_response.iterate().__aiter__()
         received = []
@@ -216,11 +225,18 @@
             splitter = EventSplitter(reservation)
             async for chunk in chunks:
                 received.append(chunk)
-                events = splitter.feed(chunk)
-                if events:
-                    check_event(self.request_state, events[0], attempt.server_id)
-                    break
-        attempt.chunks = _chain(received, chunks)
+                if self._has_new_event(splitter.feed(chunk), attempt.server_id):
+                    attempt.chunks = _chain(received, chunks)
+                    return
+        message = f"{attempt.server_id} ended its stream without a further event"
+        raise ApricotliftError(Code.STREAM_BROKEN, message, Ran.MAYBE, Scope.UPSTREAM)
+
+    def _has_new_event(self, events: list[ServerSentEvent], server_id: str) -> bool:
+        for event in events:
+            check_event(self.request_state, event, server_id)
+            if is_new_event(self.request_state, event):
+                return True
+        return False
 
     async def _cancel_opening_on_progress(self) -> None:
         while self._current is None or self._is_silent():
@@ -228,19 +244,32 @@
         self._opening_scope.cancel()
 
     def _check_successor(self, attempt: RunningAttempt) -> None:
-        """Raise an error unless the client can be given an attempt's response."""
-        status = attempt.upstream_response.status
-        is_failed = status >= _MIN_SERVER_ERROR_STATUS
-        if self.response.is_started:
-            is_stream = is_event_stream(attempt.upstream_response)
-            is_failed = status != _STATUS_OK or not is_stream
-        if is_failed:
-            message = f"{attempt.server_id} failed with status {status}"
+        """Raise an error unless an attempt may replace one that goes on.
+
+        A failure, also one of the request, is no reason to give up the first attempt.
+        """
+        upstream_response = attempt.upstream_response
+        is_stream = is_forwarded_as_stream(self.request_state, upstream_response)
+        is_wanted = is_stream == self.request_state.request.route.is_stream
+        if upstream_response.status >= _MIN_REDIRECT_STATUS or not is_wanted:
+            message = (
+                f"{attempt.server_id} sent status {upstream_response.status}, or "
+                "another kind of response than the route's"
+            )
             raise ApricotliftError(
                 Code.UPSTREAM_FAILED, message, Ran.MAYBE, Scope.UPSTREAM
             )
 
+    def _abandon(self, attempt: RunningAttempt) -> None:
+        """Count a second attempt that isn't needed, because the first one went on."""
+        attempt.tracker.abandon()
+        self.request_state.n_possibly_run += 1
+        self.request_state.tried_server_ids.add(attempt.server_id)
+
     def _replace_current(self, attempt: RunningAttempt, stack: AsyncExitStack) -> None:
+        if self._current is not None and not self._is_silent():
+            self._abandon(attempt)
+            return
         attempt.stack = stack.pop_all()
         self.successor = attempt
         self.node.metrics.count("hedges_won_total")
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/requeststate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/requeststate.py
@@ -48,8 +48,8 @@
     :param fallback_response: a server's error response, sent if no later attempt
         succeeds.
     :param last_event_id: last event that the client has; a stream resumes after it.
-    :param crash_check: check of the engine that broke off the last attempt before its
-        answer was under way.
+    :param crash_checks: checks of engines that broke off an attempt before its answer
+        was under way.
     :param n_crashes: engines that crashed in this way.
     :param outcome: result of the request, for the log.
     :param server_id: server of the current attempt.
@@ -65,7 +65,7 @@
     tried_server_ids: set[str] = field(default_factory=set)
     fallback_response: BufferedResponse | None = None
     last_event_id: str | None = None
-    crash_check: CrashCheck | None = None
+    crash_checks: list[CrashCheck] = field(default_factory=list)
     n_crashes: int = 0
     outcome: str = ""
     server_id: str = ""
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/responses.py
@@ -32,6 +32,7 @@
 
 _MIN_EVENT_GAP_TIMEOUT_S = 1.0
 
+_MIN_REDIRECT_STATUS = 300
 _MIN_SERVER_ERROR_STATUS = 500
 
 _STATUS_NO_CONTENT = 204
@@ -64,6 +65,15 @@
     return [item for item in upstream_response.headers if item[0] not in dropped]
 
 
+def is_forwarded_as_stream(
+    request_state: RequestState, upstream_response: StreamedResponse
+) -> bool:
+    """Return whether a response is forwarded event by event."""
+    is_stream = request_state.request.route.is_stream
+    is_success = upstream_response.status < _MIN_REDIRECT_STATUS
+    return is_stream and is_success and is_event_stream(upstream_response)
+
+
 async def forward_response(
     request_state: RequestState, attempt: RunningAttempt, response: ClientResponse
 ) -> None:
@@ -72,22 +82,17 @@
     :raises ApricotliftError: if the response is incomplete or a server error.
     """
     upstream_response = attempt.upstream_response
-    is_success = upstream_response.status < 300
-    is_stream = request_state.request.route.is_stream and is_event_stream(
-        upstream_response
-    )
-    if is_stream and is_success:
+    is_stream = is_forwarded_as_stream(request_state, upstream_response)
+    if is_stream:
         await _forward_event_stream(request_state, attempt, response)
     else:
-        await _forward_buffered_response(request_state, upstream_response, response)
-    if is_success:
+        await _forward_buffered_response(request_state, attempt, response)
+    if upstream_response.status < _MIN_REDIRECT_STATUS:
         attempt.tracker.note_complete(is_stream)
 
 
 async def _forward_buffered_response(
-    request_state: RequestState,
-    upstream_response: StreamedResponse,
-    response: ClientResponse,
+    request_state: RequestState, attempt: RunningAttempt, response: ClientResponse
 ) -> None:
     """Read a response to its end and send it to the client.
 
@@ -97,7 +102,10 @@
     :raises ApricotliftError: if the response is incomplete, is a server error and
         another attempt is possible, or can't continue a stream that has been started.
     """
-    body = await upstream_response.read(MAX_RESPONSE_BYTES)
+    upstream_response = attempt.upstream_response
+    body = attempt.body
+    if body is None:
+        body = await upstream_response.read(MAX_RESPONSE_BYTES)
     buffered = BufferedResponse(
         upstream_response.status, _select_headers(upstream_response), body
     )
@@ -274,14 +282,19 @@
 
     :returns: whether the event has to be sent.
     """
-    number = parse_event_number(event.event_id)
-    last_number = parse_event_number(request_state.last_event_id)
-    if number is not None and last_number is not None and number <= last_number:
+    if not is_new_event(request_state, event):
         return False
     request_state.last_event_id = event.event_id
     return True
 
 
+def is_new_event(request_state: RequestState, event: ServerSentEvent) -> bool:
+    """Return whether the client doesn't have an event yet."""
+    number = parse_event_number(event.event_id)
+    last_number = parse_event_number(request_state.last_event_id)
+    return number is None or last_number is None or number > last_number
+
+
 def _precedes(event_id: str | None, other_id: str | None) -> bool:
     """Return whether both ids are numbers and the first one is lower."""
     number = parse_event_number(event_id)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/retrydecisions.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/retrydecisions.py
@@ -23,9 +23,9 @@
 
 
 async def wait_for_crash_check(request_state: RequestState) -> None:
-    """Wait until it is known whether the last failed attempt's engine has crashed."""
-    check, request_state.crash_check = request_state.crash_check, None
-    if check is not None:
+    """Wait until it is known whether the engines of failed attempts have crashed."""
+    while request_state.crash_checks:
+        check = request_state.crash_checks.pop()
         await check.done.wait()
         request_state.n_crashes += check.is_crash
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runningattempts.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runningattempts.py
@@ -24,7 +24,8 @@
     :param due_at: time from which the server counts as silent.
     :param is_reading: whether the node waits for the server, not for the client.
     :param upstream_response: set once the response's headers have been received.
-    :param chunks: the rest of the body, where reading it has begun.
+    :param chunks: the body of a stream, where reading it has begun.
+    :param body: the body of another response, where it has been read.
     """
 
     dispatch: Dispatch
@@ -35,6 +36,7 @@
     is_reading: bool = True
     upstream_response: StreamedResponse | None = None
     chunks: AsyncIterator[bytes] | None = field(default=None, repr=False)
+    body: bytes | None = field(default=None, repr=False)
 
     @property
     def server_id(self) -> str:
--- a/packages/apricotlift-state/src/apricotlift/state/tableleases.py
+++ b/packages/apricotlift-state/src/apricotlift/state/tableleases.py
@@ -160,6 +160,8 @@
             return
         self._ensure_at = self._clock() + _ENSURE_PAUSE_S
         row = await self._table.get(self._pk, self._sk)
+        if row is not None:
+            self._record_state(row)
         if row is None or _is_later_start(row, self._first_era):
             await self._write_free_row(row)
             # Read again later, because another node may have written it first.
