Choose ports of test nodes below those that the system gives to connections

A row of features/oddentries.feature failed when the node was started again on its ports, in a run beside others; once before the message was 'Address already in use'. While a node is down, the system may give its port to a connection. This is the suspected cause, not traced: the failed run kept no message.

--- a/features/forwardingfleet.py
+++ b/features/forwardingfleet.py
@@ -1,7 +1,9 @@
 """Helpers of the forwarding steps: processes, store rows and client requests."""
 
+import contextlib
 import http.client
 import json
+import random
 import socket
 
 from features.waiting import wait_until
@@ -20,6 +22,12 @@
 ]
 HOST = "site.example"
 
+#: Ports of nodes, below those that the system gives to connections.
+_FIRST_NODE_PORT = 10_000
+_LAST_NODE_PORT = 32_000
+# Test runs beside each other must not choose the same ports, so the seed isn't fixed.
+_PORTS = random.SystemRandom()
+
 
 def build_configuration(version, prefixes=(), keys=("k1",), n_kv_tokens=0):
     routes = [
@@ -99,9 +107,16 @@
 
 
 def find_free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """Return a port that a node can still bind after a restart.
+
+    The system gives ports of its own range to connections, and to listeners that ask for
+    any port, while the node is down.
+    """
+    while True:
+        port = _PORTS.randint(_FIRST_NODE_PORT, _LAST_NODE_PORT)
+        with socket.socket() as listener, contextlib.suppress(OSError):
+            listener.bind(("127.0.0.1", port))
+            return port
 
 
 def write_settings(context, name, retry_share=0.2, n_retries=50):
