--- a/review/harness.py
+++ b/review/harness.py
@@ -423,7 +423,12 @@
 
 
 def build_request(
-    method: str, target: str, request_id: str, deadline_ms: int, body: bytes = b""
+    method: str,
+    target: str,
+    request_id: str,
+    deadline_ms: int,
+    body: bytes = b"",
+    more_headers: dict[str, str] | None = None,
 ) -> bytes:
     """Return the bytes of a client's request, which closes its connection."""
     lines = [
@@ -434,6 +439,7 @@
         f"X-Deadline-Ms: {deadline_ms}",
         "Connection: close",
     ]
+    lines += [f"{name}: {value}" for name, value in (more_headers or {}).items()]
     if body:
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join([*lines, "", ""]).encode() + body
@@ -457,6 +463,7 @@
     target: str,
     request_id: str,
     deadline_ms: int = 1500,
+    more_headers: dict[str, str] | None = None,
 ) -> Answer:
     """Send a request on a new connection and read until the connection ends."""
     record.note(f"client sends {request_id} {method} {target} to {node.name}")
@@ -464,7 +471,10 @@
     try:
         reader, writer = await asyncio.open_connection("127.0.0.1", node.ports["front"])
         body = b"order" if method == "POST" else b""
-        writer.write(build_request(method, target, request_id, deadline_ms, body))
+        request = build_request(
+            method, target, request_id, deadline_ms, body, more_headers
+        )
+        writer.write(request)
         received = await reader.read()
         writer.close()
     except OSError as error:
