--- a/review/5/case.py
+++ b/review/5/case.py
@@ -45,6 +45,8 @@
         for _ in range(_N_CHANGES):
             await asyncio.sleep(_INTERVAL_S - _SETTLE_S - _RESTART_DELAY_S)
             for node in nodes:
+                if not node.is_running:
+                    raise RuntimeError(f"{node.name} ended before it was signalled")
                 node.send_signal(signal.SIGHUP)
             await asyncio.sleep(_SETTLE_S)
             for node in nodes:
