--- a/review/harness.py
+++ b/review/harness.py
@@ -29,7 +29,7 @@
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
 _PLACEHOLDER = re.compile(r"\{\{([A-Za-z0-9_.]+)\}\}")
-#: Figures of the sheet of the small sites (SYSTEM.md), as the platform fills them in.
+#: Figures of the site kvmfs-fold, as the platform fills them in.
 _FIELDS = {
     "zone": "zone-1",
     "bounds.graceS": "8",
@@ -40,9 +40,9 @@
     "bounds.retryBudgetRatio": "0.2",
     "bounds.budgetSlack": "56",
     "bounds.ttl_max_s": "5",
-    "limits.memoryMb": "300",
-    "limits.cpuShare": "1.0",
-    "limits.cores": "1",
+    "limits.memoryMb": "150",
+    "limits.cpuShare": "0.537",
+    "limits.cores": "2",
 }
 
 
