Capture signals from a node's first statement to its exit

Cause: SIGHUP had a handler only while the node served, from the end of the start to the stop signal. Before and after that the signal's default action ended the process.

One task follows them in all phases (Lifecycle): a stop signal cancels a start, begins a shutdown, and means nothing after that; SIGHUP reloads the settings, or is kept until the node serves.

Not covered: the time from exec to the first statement, in which the interpreter starts.

--- a/features/forwardingfleet.py
+++ b/features/forwardingfleet.py
@@ -130,15 +130,20 @@
     return context.processes.write_file(f"{name}.ini", text)
 
 
-def start_node(context, name):
+def launch_node(context, name):
+    """Start a node without waiting until it listens, and return its process."""
     listeners = ("callers", "readiness", "directory", "peers", "metrics")
     context.ports[name] = {listener: find_free_port() for listener in listeners}
     path = write_settings(context, name)
     process = context.processes.start_script(
         name, "platform/main.py", {"APRICOTLIFT_BOOT": str(path)}
     )
-    process.wait_for_event("listening", listener="callers")
     context.nodes[name] = process
+    return process
+
+
+def start_node(context, name):
+    launch_node(context, name).wait_for_event("listening", listener="callers")
     wait_until(
         lambda: (
             send_http_request(get_address(context, name, "readiness"), "GET", "/")[0]
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -1,6 +1,5 @@
 """Runs a forwarding node as a process: start, reload of settings, graceful shutdown."""
 
-import signal
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -38,12 +37,16 @@
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.settings import (
     ForwardingSettings,
+    SettingsFile,
     load_settings,
+    read_settings_file,
     watch_settings,
 )
 from apricotlift.forwarding.storecleaner import StoreCleaner
 from apricotlift.forwarding.suspects import Suspects
 from apricotlift.forwarding.weightrollout import WeightRollout
+from apricotlift.process import CapturedSignals
+from apricotlift.process.lifecycle import Lifecycle
 from apricotlift.state.membership import Membership
 from apricotlift.state.view import MemberState
 from apricotlift.upstreams.readbudget import ReadBudget, compute_budget_bytes
@@ -69,19 +72,39 @@
     settings_path: str,
     dialect: Dialect,
     build_store: Callable[[ForwardingSettings, Metrics, ReadBudget], "StorePort"],
+    signals: CapturedSignals,
 ) -> None:
     """Run a node until it is stopped by a signal.
 
     :param settings_path: settings file, watched for changes.
     :param dialect: adapter for the platform's documents and header names.
     :param build_store: returns the client of the platform's store.
+    :param signals: the signals of this process.
+    :raises ApricotliftError: ``bad_settings`` for settings that can't be loaded.
     """
-    # Read before the settings are loaded, so that a change between the two reads is
-    # detected by the watcher.
-    settings_content = await anyio.Path(settings_path).read_bytes()
-    settings = load_settings(settings_path)
+    settings_file = await read_settings_file(settings_path)
     logs.log(logs.INFO, "starting", settings=settings_path)
     metrics = Metrics()
+    lifecycle = Lifecycle(metrics)
+    async with anyio.create_task_group() as signal_tasks:
+        signal_tasks.start_soon(lifecycle.follow_signals, signals)
+        with lifecycle.start_scope:
+            await _start_and_serve(
+                settings_file, dialect, build_store, metrics, lifecycle
+            )
+        signal_tasks.cancel_scope.cancel()
+    logs.log(logs.INFO, "stopped")
+
+
+async def _start_and_serve(
+    settings_file: SettingsFile,
+    dialect: Dialect,
+    build_store: Callable[[ForwardingSettings, Metrics, ReadBudget], "StorePort"],
+    metrics: Metrics,
+    lifecycle: Lifecycle,
+) -> None:
+    """Start all parts of the node, serve until a stop signal, and shut down."""
+    settings = settings_file.settings
     sockets = _bind_listeners(settings)
     async with AsyncExitStack() as stack:
         memory_bytes = int(settings.limits.memory_mb * 1_000_000)
@@ -158,14 +181,15 @@
         tasks.start_soon(_run_maintenance, node)
         tasks.start_soon(
             watch_settings,
-            settings_path,
-            settings_content,
-            lambda: _reload_settings(node, settings_path, "file_changed"),
+            settings_file,
+            lambda: _reload_settings(node, settings_file.path, "file_changed"),
         )
         http_servers = _start_listeners(node, sockets)
-        await _wait_for_stop(node, settings_path)
+        lifecycle.begin_service(
+            lambda: _reload_settings(node, settings_file.path, "signal")
+        )
+        await lifecycle.wait_for_stop()
         await _shut_down(node, http_servers, weight_rollout)
-    logs.log(logs.INFO, "stopped")
 
 
 def _bind_listeners(settings: ForwardingSettings) -> dict:
@@ -386,17 +410,6 @@
     logs.log(logs.INFO, "settings_reloaded", cause=cause)
 
 
-async def _wait_for_stop(node: Runtime, settings_path: str) -> None:
-    handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*handled_signals) as signals:
-        async for signal_number in signals:
-            if signal_number == signal.SIGHUP:
-                _reload_settings(node, settings_path, "signal")
-                continue
-            logs.log(logs.INFO, "stopping", signal=signal.Signals(signal_number).name)
-            return
-
-
 async def _shut_down(
     node: Runtime, http_servers: list[HttpServer], weight_rollout: WeightRollout
 ) -> None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/settings.py
@@ -111,19 +111,44 @@
     return ForwardingSettings(**models)
 
 
+@dataclass(frozen=True)
+class SettingsFile:
+    """A settings file as it was when it was loaded.
+
+    :param content: bytes of the file.
+    """
+
+    path: str
+    content: bytes
+    settings: ForwardingSettings
+
+
+async def read_settings_file(path: str) -> SettingsFile:
+    """Load a settings file together with its content.
+
+    :raises ApricotliftError: ``bad_settings``, also for a file that can't be read.
+    """
+    try:
+        # Read first, so that the watcher detects a change between the two reads.
+        content = await anyio.Path(path).read_bytes()
+    except OSError:
+        content = b""
+    return SettingsFile(path, content, load_settings(path))
+
+
 async def watch_settings(
-    path: str | Path, applied_content: bytes, reload: Callable[[], None]
+    settings_file: SettingsFile, reload: Callable[[], None]
 ) -> None:
     """Call ``reload`` after each change of the settings file, until cancelled.
 
-    :param path: the settings file.
-    :param applied_content: content that the current settings were read from. If the
-        file has changed since then, ``reload`` is called at once.
+    :param settings_file: the file, and the content that the current settings were read
+        from. If it has changed since then, ``reload`` is called at once.
     :param reload: reads and applies the settings.
     """
+    applied_content = settings_file.content
     while True:
         try:
-            content = await anyio.Path(path).read_bytes()
+            content = await anyio.Path(settings_file.path).read_bytes()
         except OSError as error:
             logs.log(logs.WARNING, "settings_unreadable", reason=str(error))
         else:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/settings_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/settings_steps.py
@@ -3,7 +3,12 @@
 
 import anyio
 from apricotlift.core.errors import ApricotliftError
-from apricotlift.forwarding.settings import BoundsModel, load_settings, watch_settings
+from apricotlift.forwarding.settings import (
+    BoundsModel,
+    load_settings,
+    read_settings_file,
+    watch_settings,
+)
 from behave import given, then, when
 
 _SETTINGS_TEMPLATE = """[node]
@@ -65,13 +70,13 @@
 
 @when("the file changes before the watcher starts with its former content")
 def step_change_before_watching(context):
-    former_content = context.path.read_bytes()
-    context.path.write_bytes(former_content + b"n_retries = 7\n")
+    former_file = anyio.run(read_settings_file, context.path)
+    context.path.write_bytes(former_file.content + b"n_retries = 7\n")
     context.n_reloads = 0
 
     async def watch():
         with anyio.move_on_after(1.5):
-            await watch_settings(context.path, former_content, count_reload)
+            await watch_settings(former_file, count_reload)
 
     def count_reload():
         context.n_reloads += 1
