Keep signals from ending the front node before its last answer

Callers saw: answers broken off when the settings of an apricotlift-node changed, or its supervisor repeated SIGTERM while it completed its last answers.

Cause: the same class as in the forwarding node. apricotlift-node had handlers only for SIGTERM and SIGINT, and only while it waited for a stop, so SIGHUP ended it in every phase, and a stop signal ended it in the start and up to the exit; a second SIGTERM cut the graceful stop short by design.

Change: the program apricotlift.nodeprogram captures signals before its imports and follows the same Lifecycle. SIGHUP checks the settings file and logs the sections that need a restart. Only SIGINT, which a person sends, shortens a graceful stop.

--- a/bench/faultnode.py
+++ b/bench/faultnode.py
@@ -10,6 +10,7 @@
 from apricotlift.core import logs
 from apricotlift.node import enginestreams, prompts
 from apricotlift.node import main as node_main
+from apricotlift.process import capture_signals
 from apricotlift.state.claims import ClaimManager
 from apricotlift.state.freshness import AdmissionBasis, Freshness
 from apricotlift.state.suspects import SuspectRegistry
@@ -55,7 +56,9 @@
     MECHANISM_REMOVERS[name]()
     logs.configure(name)
     logs.log(logs.WARNING, "mechanism_removed", name=name)
-    node_main.main()
+    signals = capture_signals()
+    node_main.main(signals)
+    signals.ignore()
 
 
 if __name__ == "__main__":
--- a/bench/faultworld.py
+++ b/bench/faultworld.py
@@ -142,7 +142,7 @@
             "[streams]\ntoken_timeout_s = 3\nfirst_token_timeout_s = 8\n"
         )
         path = self.processes.write_file(f"{name}.ini", text)
-        module = "apricotlift.node.main"
+        module = "apricotlift.nodeprogram"
         arguments = ["serve", "--settings", str(path)]
         if self.without:
             module = "bench.faultnode"
--- a/features/signals.feature
+++ b/features/signals.feature
@@ -52,3 +52,52 @@
     When the node "n1" is stopped by SIGTERM
     And the node "n1" gets "SIGHUP" every 2 ms until it has exited
     Then the node "n1" exits with code 0
+
+  Scenario: A front node survives SIGHUP as it starts and while it serves
+    # Guards against SIGHUP ending the product's own node, which has no such handler.
+    Given accounts "fes" that may use model "wax"
+    And engines "e1"
+    And a node "n1"
+    And the front node "n2" is started and gets "SIGHUP" during its imports
+    Then the front node "n2" serves
+    And the front node "n2" has checked its settings
+    When the node "n1" gets "SIGHUP" 5 times, every 20 ms
+    Then account "fes" sends prompt "Still there?" to "n1" with success
+
+  Scenario Outline: Signals during a front node's graceful stop cut off no answer
+    # Guards against SIGHUP, or a repeated SIGTERM, ending a front node that still serves.
+    Given accounts "fes" that may use model "wax"
+    And engines "e1"
+    And engine "e1" sends a token every 0.2 s
+    And nodes "n1, n2"
+    When account "fes" sends prompt "Before the stop" to "n1", which is stopped during the answer
+    And the node "n1" gets "<signals>" <n> times, every <gap> ms
+    Then node "n2" no longer lists "n1" while the answer continues
+    And the answer is complete and belongs to the prompt
+    And node "n1" has ended with exit code 0
+
+    Examples:
+      | signals        | n  | gap |
+      | SIGHUP         | 3  | 100 |
+      | SIGTERM        | 3  | 100 |
+      | SIGHUP SIGTERM | 10 | 20  |
+
+  Scenario: Signals until a front node has gone change nothing about its exit
+    # Guards against SIGHUP ending a front node between its last request and its exit.
+    Given accounts "fes" that may use model "wax"
+    And engines "e1"
+    And a node "n1"
+    When the node "n1" gets "SIGTERM" 1 time, every 0 ms
+    And the node "n1" gets "SIGHUP" every 2 ms until it has exited
+    Then the node "n1" has exited with code 0 within 5 s
+
+  Scenario: An interrupt ends a front node's graceful stop
+    # Guards against a stop without a deadline that a person can't shorten.
+    Given accounts "fes" that may use model "wax"
+    And engines "e1"
+    And engine "e1" sends a token every 3 s
+    And nodes "n1, n2"
+    When account "fes" sends prompt "Before the stop" to "n1", which is stopped during the answer
+    And the node "n1" has begun to stop
+    And the node "n1" gets "SIGINT" 1 time, every 0 ms
+    Then the node "n1" has exited with code 0 within 20 s
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -18,6 +18,12 @@
 from features.waiting import wait_until
 
 
+def find_node(context, name):
+    """Return a node's process, of either program."""
+    nodes = getattr(context, "nodes", None) or context.fleet.nodes
+    return nodes[name]
+
+
 @given("the store is silent")
 def step_silent_store(context):
     post_control(context, "/_fault", {"mode": "silent"})
@@ -37,6 +43,23 @@
     assert not [line for line in process.read_log() if line["event"] == "starting"]
 
 
+@given('the front node "{name}" is started and gets "{signal_name}" during its imports')
+def step_start_front_node_and_signal(context, name, signal_name):
+    process = context.fleet.launch_node(name)
+    signal_once_captured(process, signal.Signals[signal_name])
+    assert not process.read_log()
+
+
+@then('the front node "{name}" serves')
+def step_front_node_serves(context, name):
+    context.fleet.wait_for_node(name)
+
+
+@then('the front node "{name}" has checked its settings')
+def step_front_node_checked(context, name):
+    find_node(context, name).wait_for_event("settings_checked")
+
+
 def signal_once_captured(process, number):
     """Send a signal as soon as the process has a handler for it."""
     wait_until(lambda: is_captured(process.popen.pid, number))
@@ -52,7 +75,7 @@
 @when('the node "{name}" gets "{signals}" {n:d} time, every {gap_ms:d} ms')
 @when('the node "{name}" gets "{signals}" {n:d} times, every {gap_ms:d} ms')
 def step_signal_in_series(context, name, signals, n, gap_ms):
-    send_in_series(context.nodes[name], signals, n, gap_ms)
+    send_in_series(find_node(context, name), signals, n, gap_ms)
 
 
 def send_in_series(process, signals, n, gap_ms):
@@ -65,7 +88,7 @@
 
 @when('the node "{name}" gets "{signal_name}" every {gap_ms:d} ms until it has exited')
 def step_signal_until_exit(context, name, signal_name, gap_ms):
-    signal_until_exit(context.nodes[name], signal.Signals[signal_name], gap_ms)
+    signal_until_exit(find_node(context, name), signal.Signals[signal_name], gap_ms)
 
 
 def signal_until_exit(process, number, gap_ms):
@@ -78,6 +101,11 @@
         time.sleep(gap_ms / 1000)
 
 
+@when('the node "{name}" has begun to stop')
+def step_has_begun_to_stop(context, name):
+    find_node(context, name).wait_for_event("stopping")
+
+
 @when('the retry share of "{name}" becomes {share:g}')
 def step_change_share(context, name, share):
     write_settings(context, name, share)
@@ -102,4 +130,4 @@
 
 @then('the node "{name}" has exited with code {code:d} within {limit_s:d} s')
 def step_exits_within(context, name, code, limit_s):
-    assert context.nodes[name].wait(limit_s) == code
+    assert find_node(context, name).wait(limit_s) == code
--- a/packages/apricotlift-node/src/apricotlift/node/drain.py
+++ b/packages/apricotlift-node/src/apricotlift/node/drain.py
@@ -4,12 +4,11 @@
 therefore continues to serve until every response that lists it has expired.
 """
 
-import signal
-
 import anyio
 from apricotlift.core import logs
 from apricotlift.node.instancelist import compute_linger_s
 from apricotlift.node.runtime import Node
+from apricotlift.process.lifecycle import Lifecycle
 
 POLL_INTERVAL_S = 0.05
 CLAIM_FLUSH_TIMEOUT_S = 10.0
@@ -31,21 +30,21 @@
         await node.cluster.publish_serving()
 
 
-async def wait_for_stop(node: Node) -> None:
-    """Wait for a stop signal, then until the graceful stop has ended."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            logs.log(logs.INFO, "stopping", signal=signal.Signals(number).name)
-            break
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_on_signal, signals, tasks.cancel_scope)
-            tasks.start_soon(request_drain, node)
-            with anyio.move_on_after(_get_deadline_s(node)):
-                await anyio.sleep(_get_linger_s(node))
-                while is_busy(node):
-                    await anyio.sleep(POLL_INTERVAL_S)
-                await _flush_claims(node)
-            tasks.cancel_scope.cancel()
+async def wait_for_stop(node: Node, lifecycle: Lifecycle) -> None:
+    """Wait for a stop signal, then until the graceful stop has ended.
+
+    A ``SIGINT`` that follows the stop signal ends the graceful stop at once.
+    """
+    await lifecycle.wait_for_stop()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_cancel_on_interrupt, lifecycle, tasks.cancel_scope)
+        tasks.start_soon(request_drain, node)
+        with anyio.move_on_after(_get_deadline_s(node)):
+            await anyio.sleep(_get_linger_s(node))
+            while is_busy(node):
+                await anyio.sleep(POLL_INTERVAL_S)
+            await _flush_claims(node)
+        tasks.cancel_scope.cancel()
     if is_busy(node):
         log_interrupted_requests(node)
 
@@ -84,11 +83,10 @@
     )
 
 
-async def _cancel_on_signal(signals, scope: anyio.CancelScope) -> None:
-    async for number in signals:
-        logs.log(logs.WARNING, "second_signal", signal=signal.Signals(number).name)
-        scope.cancel()
-        return
+async def _cancel_on_interrupt(lifecycle: Lifecycle, scope: anyio.CancelScope) -> None:
+    await lifecycle.wait_for_interrupt()
+    logs.log(logs.WARNING, "stop_interrupted")
+    scope.cancel()
 
 
 def _get_linger_s(node: Node) -> float:
--- a/packages/apricotlift-node/src/apricotlift/node/main.py
+++ b/packages/apricotlift-node/src/apricotlift/node/main.py
@@ -1,7 +1,13 @@
-"""The node binary ``apricotlift-node``."""
+"""The commands of the node binary ``apricotlift-node``.
+
+:mod:`apricotlift.nodeprogram` starts them.
+"""
 
 import sys
+from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import fields
+from functools import partial
 
 import anyio
 import defopt
@@ -39,6 +45,8 @@
 from apricotlift.node.storelinks import StoreLinks
 from apricotlift.node.streams import StreamRegistry
 from apricotlift.policy.routing import POLICIES
+from apricotlift.process import CapturedSignals
+from apricotlift.process.lifecycle import Lifecycle
 from apricotlift.upstreams.pool import Pool
 
 EXIT_INVALID_SETTINGS = 5
@@ -46,20 +54,48 @@
 _SERVER_STOP_DELAY_S = 0.1
 
 
-def serve(*, settings: str) -> None:
-    """Run a node until it is stopped.
+def build_serve(signals: CapturedSignals) -> Callable:
+    """Return the command that runs a node.
 
-    SIGTERM or SIGINT starts a graceful stop: the node is removed from the instance
-    list that callers receive, still serves requests that arrive, and exits after the
-    last one. A second signal stops it at once.
+    :param signals: the signals of this process.
+    """
 
-    Example: apricotlift-node serve --settings node.ini
+    def serve(*, settings: str) -> None:
+        """Run a node until it is stopped.
 
-    :param settings: path of the INI file
+        SIGTERM or SIGINT starts a graceful stop: the node is removed from the instance
+        list that callers receive, still serves requests that arrive, and exits after
+        the last one. A SIGINT after that stops it at once. SIGHUP checks the settings
+        file and logs which sections would change at a restart.
+
+        Example: apricotlift-node serve --settings node.ini
+
+        :param settings: path of the INI file
+        """
+        node_settings = load_settings(settings)
+        logs.configure(node_settings.node.name, node_settings.node.log_level)
+        check_file = partial(check_changed_file, settings, node_settings)
+        anyio.run(run_node, node_settings, signals, check_file)
+
+    return serve
+
+
+def check_changed_file(path: str, settings: NodeSettings) -> None:
+    """Check a settings file again, and log the sections that need a restart.
+
+    :param settings: the settings in use.
     """
-    node_settings = load_settings(settings)
-    logs.configure(node_settings.node.name, node_settings.node.log_level)
-    anyio.run(run_node, node_settings)
+    try:
+        changed = load_settings(path)
+    except ApricotliftError as error:
+        logs.log(logs.ERROR, "settings_refused", reason=error.message)
+        return
+    sections = [
+        item.name
+        for item in fields(settings)
+        if getattr(changed, item.name) != getattr(settings, item.name)
+    ]
+    logs.log(logs.WARNING, "settings_checked", sections_that_need_restart=sections)
 
 
 def check(*, settings: str) -> None:
@@ -73,19 +109,43 @@
     print(f"{settings}: no findings")
 
 
-def main() -> None:
-    """Run the command line."""
+def main(signals: CapturedSignals) -> None:
+    """Run the command line.
+
+    :param signals: the signals of this process.
+    """
     try:
-        defopt.run([serve, check])
+        defopt.run([build_serve(signals), check])
     except ApricotliftError as error:
         for line in error.details.get("findings", [str(error)]):
             print(line, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
 
 
-async def run_node(settings: NodeSettings) -> None:
-    """Run a node until it has stopped."""
+async def run_node(
+    settings: NodeSettings, signals: CapturedSignals, check_file: Callable[[], None]
+) -> None:
+    """Run a node until it has stopped.
+
+    :param signals: the signals of this process.
+    :param check_file: checks the settings file again, after ``SIGHUP``.
+    """
     metrics = Metrics()
+    lifecycle = Lifecycle(metrics)
+    async with anyio.create_task_group() as signal_tasks:
+        signal_tasks.start_soon(lifecycle.follow_signals, signals)
+        with lifecycle.start_scope:
+            await _start_and_serve(settings, metrics, lifecycle, check_file)
+        signal_tasks.cancel_scope.cancel()
+    logs.log(logs.INFO, "stopped")
+
+
+async def _start_and_serve(
+    settings: NodeSettings,
+    metrics: Metrics,
+    lifecycle: Lifecycle,
+    check_file: Callable[[], None],
+) -> None:
     callers_socket = bind_listener(settings.listen.callers)
     peers_socket = bind_listener(settings.listen.peers)
     server_tls = build_server_context(settings.tls)
@@ -141,7 +201,8 @@
             ),
         ]
         _log_listening("peers", peers_socket)
-        await wait_for_stop(node)
+        lifecycle.begin_service(check_file)
+        await wait_for_stop(node, lifecycle)
         node.is_stopping = True
         for server in servers:
             server.should_exit = True
@@ -149,7 +210,6 @@
         await anyio.sleep(_SERVER_STOP_DELAY_S)
         await reconciler.release_leases()
         await cluster.membership.leave()
-        logs.log(logs.INFO, "stopped")
         tasks.cancel_scope.cancel()
 
 
@@ -168,7 +228,3 @@
 
 async def _run_server(server: HttpServer, bound_socket) -> None:
     await server.serve(sockets=[bound_socket])
-
-
-if __name__ == "__main__":
-    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -156,7 +156,7 @@
         )
         path = self.processes.write_file(f"{name}.ini", text)
         self.nodes[name] = self.processes.start_module(
-            name, "apricotlift.node.main", "serve", "--settings", str(path)
+            name, "apricotlift.nodeprogram", "serve", "--settings", str(path)
         )
         return self.nodes[name]
 
