Let every stop signal end an operator's command with its report

Operators saw: apply ended by SIGTERM, or by a terminal that closed, without saying that the version was committed but not accepted; only an interrupt from the keyboard did.

Cause: SIGTERM and SIGHUP had their default actions in the command as well.

Change: both act like SIGINT, unless the caller of the command ignores them (nohup).

Evidence: two of the four new scenarios of platform.feature (SIGTERM, SIGHUP) fail with the former main.py; 10 of 10 pass now. SIGINT and an ignored SIGHUP passed before.

--- a/packages/apricotlift-control/src/apricotlift/control/main.py
+++ b/packages/apricotlift-control/src/apricotlift/control/main.py
@@ -8,6 +8,7 @@
 import defopt
 from apricotlift.control import admin, commands, render
 from apricotlift.control.exits import Exit, UsageError, choose_exit, get_advice
+from apricotlift.control.interrupts import treat_stop_signals_as_interrupts
 from apricotlift.control.settings import ControlSettings, load_settings
 from apricotlift.control.tracing import read_trace, render_trace
 from apricotlift.core.errors import ApricotliftError
@@ -323,6 +324,7 @@
 
 def main() -> None:
     """Run the command line of this process."""
+    treat_stop_signals_as_interrupts()
     try:
         code = run(sys.argv[1:])
         sys.stdout.flush()
--- a/packages/apricotlift-control/src/apricotlift/control/tests/platform.feature
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/platform.feature
@@ -29,6 +29,25 @@
     Then that process ends with 6 and says "table_unavailable"
     And the platform holds 1 versions, the newest with the example's declarations
 
+  # Guards against: a change that is committed, and whose operator isn't told so because
+  # the command was stopped while it waited.
+  Scenario Outline: A command that is stopped says what it has committed
+    When an operator's process that waits for acceptance gets "<signal>"
+    Then that process ends with 4 and says "version 2: committed"
+    And that process says "interrupted"
+
+    Examples:
+      | signal  |
+      | SIGINT  |
+      | SIGTERM |
+      | SIGHUP  |
+
+  # Guards against: a stop signal that ends a command which its caller protects from it.
+  Scenario: A command whose caller ignores SIGHUP goes on
+    When an operator's process that ignores SIGHUP waits for acceptance and gets it
+    Then that process ends with 4 and says "version 2: committed"
+    And that process doesn't say "interrupted"
+
   # Guards against: reporting acceptance before an instance has the version in force, or
   # while a frozen instance holds a lease; and an instance that resumes and treats an old
   # version as current, or returns to an older version.
--- a/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
@@ -3,6 +3,7 @@
 import json
 import shutil
 import signal
+import time
 from pathlib import Path
 
 import anyio
@@ -168,6 +169,39 @@
     context.exits = [context.started[0].wait(180)]
 
 
+@when('an operator\'s process that waits for acceptance gets "{signal_name}"')
+def signal_while_waiting(context, signal_name):
+    apply_and_signal(context, signal.Signals[signal_name], wait_s=120)
+
+
+@when("an operator's process that ignores SIGHUP waits for acceptance and gets it")
+def signal_ignored(context):
+    former = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        apply_and_signal(context, signal.SIGHUP, wait_s=3)
+    finally:
+        signal.signal(signal.SIGHUP, former)
+
+
+def apply_and_signal(context, number, wait_s):
+    """Apply a change that no instance confirms, and send a signal meanwhile."""
+    folder = write_changed(context, "bo", 1)
+    process = start_apply(context, "bo", folder, 1, wait_s)
+    context.started = [process]
+    deadline_at = time.monotonic() + 60.0
+    while "version 2: committed" not in process.log_file.read_text():
+        assert time.monotonic() < deadline_at, process.log_file.read_text()
+        time.sleep(0.01)
+    process.send_signal(number)
+    context.exits = [process.wait(60)]
+
+
+@then('that process doesn\'t say "{text}"')
+def check_no_log_text(context, text):
+    log = context.started[0].log_file.read_text()
+    assert text not in log, log
+
+
 @then('that process says "{text}"')
 def check_log_text(context, text):
     log = context.started[0].log_file.read_text()
