Leave time for the last requests when the grace period is short

Cause: a node that stops accepts requests for a fixed 3 s; the limit of the whole stop came first and ended the function before the node began to refuse requests.

Change: at most half of the time up to that limit is used for accepting requests.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -13,3 +13,13 @@
     Then "n1" has refused its first request between 2.5 and 4 s after SIGTERM
     And each order was answered, and those with 200 ran once
     And the node "n1" exits with code 0
+
+  Scenario: A node with a short grace period completes what it accepts
+    # Guards against requests that are accepted until the grace period ends, because it is
+    # shorter than the time for which a node that stops accepts them.
+    Given a store, 2 servers and the node "n1" with a grace period of 3 s
+    When the node "n1" is stopped by SIGTERM
+    And clients of "n1" post orders on kept and new connections until it refuses them
+    Then "n1" has refused its first request between 0.5 and 2.1 s after SIGTERM
+    And each order was answered, and those with 200 ran once
+    And the node "n1" exits with code 0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -62,6 +62,9 @@
 #: A node that shuts down accepts new requests for this long, because clients cache its
 #: address.
 DRAIN_PERIOD_S = 3.0
+#: With a short grace period, new requests are accepted for at most this share of it, so
+#: that the last ones can be completed.
+_MAX_DRAIN_SHARE = 0.5
 #: Part of the grace period that is reserved for the exit of the process itself.
 _SHUTDOWN_MARGIN_S = 0.8
 _STOP_POLL_INTERVAL_S = 0.05
@@ -424,7 +427,7 @@
         async with anyio.create_task_group() as tasks:
             # Calls of a store that is silent must not delay what follows.
             tasks.start_soon(_announce_drain, node, weight_rollout)
-            await anyio.sleep(DRAIN_PERIOD_S)
+            await anyio.sleep(min(DRAIN_PERIOD_S, limit_s * _MAX_DRAIN_SHARE))
             node.is_stopping = True
             for server in http_servers:
                 server.should_exit = True
