Send whole responses before a node that stops ends

Cause: the stop waited for open requests. A request is no longer open once its last byte has been handed to the connection's transport, which may hold megabytes that the client hasn't taken yet; the process ended with them.

Change: the stop also waits until the transports have no unsent bytes, within the same limit; what is left then is logged (stop_cuts_responses).

--- a/features/forwardingfleet.py
+++ b/features/forwardingfleet.py
@@ -26,6 +26,7 @@
 _FIRST_NODE_PORT = 10_000
 _LAST_NODE_PORT = 32_000
 _GRACE_S = 8
+_MEMORY_MB = 64
 
 # Test runs beside each other must not choose the same ports, so the seed isn't fixed.
 _PORTS = random.SystemRandom()
@@ -129,7 +130,8 @@
     text += f"\n[store]\naddress = {context.store_address}\n"
     text += f"\n[bounds]\ngrace_s = {grace_s}\nretry_share = {retry_share}\n"
     text += f"n_retries = {n_retries}\n"
-    text += "\n[limits]\nmemory_mb = 64\n"
+    memory_mb = getattr(context, "memory_mb", _MEMORY_MB)
+    text += f"\n[limits]\nmemory_mb = {memory_mb}\n"
     return context.processes.write_file(f"{name}.ini", text)
 
 
--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -1,6 +1,7 @@
 """Steps with nodes that are stopped while clients send requests and read responses."""
 
 import http.client
+import socket
 import threading
 import time
 
@@ -17,6 +18,7 @@
 
 #: Longer than any grace period of these scenarios.
 _LIMIT_S = 15.0
+_SMALL_BUFFER_BYTES = 16_384
 _ORDER_INTERVAL_S = 0.1
 _ORDER_SCRIPT = "slow:0.4"
 
@@ -29,6 +31,64 @@
     context.execute_steps(f'Given a store, {n} servers and the node "{name}"')
 
 
+@given('a store, {n:d} servers and the node "{name}" with {memory_mb:d} MB of memory')
+def step_store_and_memory(context, n, name, memory_mb):
+    context.memory_mb = memory_mb
+    context.execute_steps(f'Given a store, {n} servers and the node "{name}"')
+
+
+@when('a client of "{node}" asks for {n_bytes:d} bytes on a {kind} connection')
+def step_ask_without_reading(context, node, n_bytes, kind):
+    host, port = get_address(context, node).split(":")
+    context.client = socket.socket()
+    context.add_cleanup(context.client.close)
+    # The system would otherwise take most of the response for the client.
+    context.client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES)
+    context.client.connect((host, int(port)))
+    context.n_wanted_bytes = n_bytes
+    if kind == "kept":
+        send_lookup(context.client, "first", "ok")
+        read_response(context.client)
+    send_lookup(context.client, "large", f"large:{n_bytes}")
+    wait_until(lambda: "large" in list_request_ids(context))
+    # The node has the whole response as soon as its first bytes arrive.
+    wait_until(lambda: context.client.recv(1, socket.MSG_PEEK))
+
+
+def send_lookup(client, request_id, script):
+    head = f"GET /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+    head += f"X-Key: k1\r\nX-Script: {script}\r\nX-Deadline-Ms: 8000\r\n\r\n"
+    client.sendall(head.encode())
+
+
+def list_request_ids(context):
+    return [entry["id"] for entry in read_server_records(context)["seen"]]
+
+
+def read_response(client):
+    """Return the body of a response, or what there is of it."""
+    client.settimeout(_LIMIT_S)
+    response = http.client.HTTPResponse(client)
+    response.begin()
+    try:
+        return response.read()
+    except http.client.IncompleteRead as error:
+        return error.partial
+    except ConnectionResetError:
+        return b""
+
+
+@when("the client begins to read {seconds:d} s after SIGTERM")
+def step_read_late(context, seconds):
+    time.sleep(seconds)
+    context.body = read_response(context.client)
+
+
+@then("the client has the whole response")
+def step_has_whole_response(context):
+    assert len(context.body) == context.n_wanted_bytes, len(context.body)
+
+
 @given('other nodes "{names}"')
 def step_other_nodes(context, names):
     for name in split_names(names):
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -23,3 +23,24 @@
     Then "n1" has refused its first request between 0.5 and 2.1 s after SIGTERM
     And each order was answered, and those with 200 ran once
     And the node "n1" exits with code 0
+
+  Scenario Outline: A client that reads slowly gets its whole response from a node that stops
+    # Guards against a process that ends with a part of a response in its memory.
+    Given a store, 2 servers and the node "n1" with 150 MB of memory
+    When a client of "n1" asks for 9000000 bytes on a <connection> connection
+    And the node "n1" is stopped by SIGTERM
+    And the client begins to read 4 s after SIGTERM
+    Then the client has the whole response
+    And the node "n1" exits with code 0
+
+    Examples:
+      | connection |
+      | new        |
+      | kept       |
+
+  Scenario: A client that never reads doesn't keep a node from stopping
+    # Guards against a stop that waits for one client past the grace period.
+    Given a store, 2 servers and the node "n1" with 150 MB of memory
+    When a client of "n1" asks for 9000000 bytes on a new connection
+    And the node "n1" is stopped by SIGTERM
+    Then the node "n1" has exited with code 0 within 8 s
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/listeners.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/listeners.py
@@ -2,11 +2,14 @@
 
 import socket
 import ssl
+from collections.abc import Iterable
 from contextlib import nullcontext
 
+import anyio
 import uvicorn
 
 _BACKLOG = 2048
+_SEND_POLL_INTERVAL_S = 0.05
 
 
 class HttpServer(uvicorn.Server):
@@ -16,6 +19,20 @@
         """Install no signal handlers."""
         return nullcontext()
 
+    @property
+    def n_unsent_bytes(self) -> int:
+        """Bytes of responses that clients haven't taken from this process yet."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self.server_state.connections
+        )
+
+
+async def wait_until_sent(servers: Iterable[HttpServer]) -> None:
+    """Wait until clients have taken all bytes of the responses."""
+    while any(server.n_unsent_bytes for server in servers):
+        await anyio.sleep(_SEND_POLL_INTERVAL_S)
+
 
 def bind_listener(address: str) -> socket.socket:
     """Return a listening TCP socket.
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -28,6 +28,7 @@
     HttpServer,
     bind_listener,
     build_http_server,
+    wait_until_sent,
 )
 from apricotlift.forwarding.peernotes import PeerNotes
 from apricotlift.forwarding.refusals import Refusals
@@ -433,9 +434,13 @@
                 server.should_exit = True
             while node.n_open_requests:
                 await anyio.sleep(_STOP_POLL_INTERVAL_S)
+            await wait_until_sent(http_servers)
             tasks.cancel_scope.cancel()
     if node.n_open_requests:
         logs.log(logs.WARNING, "stop_cuts_requests", n_requests=node.n_open_requests)
+    n_unsent_bytes = sum(server.n_unsent_bytes for server in http_servers)
+    if n_unsent_bytes:
+        logs.log(logs.WARNING, "stop_cuts_responses", n_unsent_bytes=n_unsent_bytes)
     with anyio.move_on_after(0.3):
         await node.membership.leave()
 
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -10,7 +10,8 @@
 ``twice:DESCRIPTION`` and ``joined:DESCRIPTION`` it follows the own response, later or
 together with it. From the behaviour ``leaving:STATUS`` on, each
 response of that server says that it leaves; ``busy:SECONDS`` refuses a request and asks
-for a pause; ``quiet:N:SECONDS:LAST`` pauses a stream after event N. The servers also
+for a pause; ``quiet:N:SECONDS:LAST`` pauses a stream after event N; ``large:N``
+sends a body of N bytes. The servers also
 load weights as engines do, and answer ``/kv-events`` without any events.
 """
 
@@ -253,6 +254,9 @@
             stream, argument, own_headers, text, first_event_number
         )
         raise _ConnectionClosed
+    elif behaviour == "large":
+        large_body = body.ljust(int(argument), b".")
+        await _send_response(connection, stream, 200, own_headers, large_body)
     elif behaviour == "slow":
         await anyio.sleep(float(argument))
         await _send_response(connection, stream, 200, own_headers, body)
