Answer the requests that a stop cuts off

Cause: the process ended while the requests' tasks still waited for their servers.

Change: at its limit, 0.8 s before the end of the grace period, the stop ends the open requests. Those without a response get 502 with the code "stopping", which says that they may have run; a stream that has begun is broken off, as before.

Evidence: a request whose server hangs got no response on and gets 502 now. The stream's scenario passed before as well.

--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -1,6 +1,7 @@
 """Steps with nodes that are stopped while clients send requests and read responses."""
 
 import http.client
+import json
 import socket
 import threading
 import time
@@ -12,6 +13,7 @@
     get_address,
     read_directory,
     read_server_records,
+    send_client_request,
     start_node,
 )
 from features.waiting import split_names, wait_until
@@ -174,3 +176,34 @@
             continue
         assert status in (200, 503), context.orders
         assert seen.count(request_id) == (status == 200), (request_id, status)
+
+
+@when('a client posts "{target}" with the script "{script}" to "{node}" and waits')
+def step_post_and_wait(context, target, script, node):
+    def run():
+        try:
+            context.response = send_client_request(
+                context, node, "POST", target, script, body=b"body"
+            )
+        except (OSError, http.client.HTTPException) as error:
+            context.error = error
+
+    context.response = context.error = None
+    context.sender = threading.Thread(target=run, daemon=True)
+    context.sender.start()
+    wait_until(lambda: read_server_records(context)["seen"])
+
+
+@then("the client has got {status:d}, which says that the request may have run")
+def step_got_error(context, status):
+    context.sender.join(_LIMIT_S)
+    assert context.response is not None, context.error
+    assert context.response[0] == status, context.response
+    body = json.loads(context.response[2])["error"]
+    assert (body["code"], body["ran"]) == ("stopping", "maybe"), body
+
+
+@then("the client has got a response that broke off")
+def step_got_broken_response(context):
+    context.sender.join(_LIMIT_S)
+    assert isinstance(context.error, http.client.IncompleteRead), context.response
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -44,3 +44,19 @@
     When a client of "n1" asks for 9000000 bytes on a new connection
     And the node "n1" is stopped by SIGTERM
     Then the node "n1" has exited with code 0 within 8 s
+
+  Scenario: A request that a stop cuts off gets an error
+    # Guards against a connection that ends without a response when the process does.
+    Given a store, 2 servers and the node "n1"
+    When a client posts "/long/a" with the script "hang" to "n1" and waits
+    And the node "n1" is stopped by SIGTERM
+    Then the client has got 502, which says that the request may have run
+    And the node "n1" exits with code 0
+
+  Scenario: A stream that a stop cuts off doesn't look complete
+    # Guards against a part of a stream that a client takes for the whole one.
+    Given a store, 2 servers and the node "n1"
+    When a client posts "/long/a" with the script "quiet:2:20:6" to "n1" and waits
+    And the node "n1" is stopped by SIGTERM
+    Then the client has got a response that broke off
+    And the node "n1" exits with code 0
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
@@ -147,6 +147,8 @@
 ) -> str:
     """Serve a request, and cancel it as soon as its client disconnects.
 
+    :raises ApricotliftError: as :func:`serve_request`, or ``stopping`` if this process
+        ends first.
     :raises ClientDisconnected: if the client left before the response was complete.
     """
     outcome = ""
@@ -162,14 +164,20 @@
             tasks.cancel_scope.cancel()
 
         tasks.start_soon(cancel_on_disconnect)
+        node.open_scopes.add(tasks.cancel_scope)
         try:
             outcome = await serve_request(node, request, response)
         except ApricotliftError as error:
             # Raised below, because the task group would wrap it in an exception group.
             failure = error
+        finally:
+            node.open_scopes.discard(tasks.cancel_scope)
         tasks.cancel_scope.cancel()
     if has_disconnected:
         raise ClientDisconnected
+    if failure is None and not response.is_complete and node.is_cutting:
+        message = "this node ended before the request was complete"
+        failure = ApricotliftError(Code.STOPPING, message, Ran.MAYBE)
     if failure is not None:
         raise failure
     return outcome
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -68,6 +68,8 @@
 _MAX_DRAIN_SHARE = 0.5
 #: Part of the grace period that is reserved for the exit of the process itself.
 _SHUTDOWN_MARGIN_S = 0.8
+#: Time for the error responses of requests that are cut off.
+_CUT_PERIOD_S = 0.2
 _STOP_POLL_INTERVAL_S = 0.05
 _MAINTENANCE_INTERVAL_S = 1.0
 
@@ -438,6 +440,11 @@
             tasks.cancel_scope.cancel()
     if node.n_open_requests:
         logs.log(logs.WARNING, "stop_cuts_requests", n_requests=node.n_open_requests)
+        node.cut_requests()
+        with anyio.move_on_after(_CUT_PERIOD_S):
+            while node.n_open_requests:
+                await anyio.sleep(_STOP_POLL_INTERVAL_S)
+            await wait_until_sent(http_servers)
     n_unsent_bytes = sum(server.n_unsent_bytes for server in http_servers)
     if n_unsent_bytes:
         logs.log(logs.WARNING, "stop_cuts_responses", n_unsent_bytes=n_unsent_bytes)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/runtime.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from anyio import CancelScope
 from anyio.abc import TaskGroup
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.budgets import RetryBudgets
@@ -43,6 +44,8 @@
         ready and left out of the directory.
     :param is_stopping: whether new requests are refused.
     :param n_open_requests: client requests that are being served.
+    :param open_scopes: the scopes of the requests that servers are asked for.
+    :param is_cutting: whether the open requests are ended because the process ends.
     """
 
     settings: ForwardingSettings
@@ -61,6 +64,8 @@
     is_draining: bool = False
     is_stopping: bool = False
     n_open_requests: int = 0
+    open_scopes: set[CancelScope] = field(default_factory=set)
+    is_cutting: bool = False
     pending_prompts: PendingPrompts = field(init=False)
     _learned_versions: dict[tuple, int] = field(default_factory=dict)
 
@@ -100,6 +105,12 @@
         """Whether clients should send requests to this node."""
         return self.routing_state.is_ready and not self.is_draining
 
+    def cut_requests(self) -> None:
+        """End the open requests, each with an error response if none has begun."""
+        self.is_cutting = True
+        for scope in self.open_scopes:
+            scope.cancel()
+
     def get_known_weight_version(self, server: Server, model: str) -> int | None:
         """Return the server's weight version of a model.
 
