Test responses that end inside their head, on new and kept connections

Fifteen places at which a head ends, two of them with a reset, are played for requests that may be repeated, for orders, for streams and for the rest of a stream, on new and on kept connections, and for both clients of the upstreams package. Repeatable requests and streams go to another server, orders get 502, the rest of a stream breaks off visibly.

--- a/features/framing.feature
+++ b/features/framing.feature
@@ -135,3 +135,99 @@
       | stream:0,stream:6                       |
     Then each client gets the error 502
     And each request was sent 1 time
+
+  Scenario Outline: A response that ends inside its head is no response
+    # Guards against a 200 with an empty or short body, framed as whole, for a server that
+    # stopped in the middle of its answer's head.
+    When clients get "/lookup/a" from "n1" on <connection> connections with these responses
+      | response                                    |
+      | close_delimited:head_in_version,ok          |
+      | close_delimited:head_in_status,ok           |
+      | close_delimited:head_in_status_line,ok      |
+      | close_delimited:head_after_status_line,ok   |
+      | close_delimited:head_in_name,ok             |
+      | close_delimited:head_in_length,ok           |
+      | close_delimited:head_after_length,ok        |
+      | close_delimited:head_after_headers,ok       |
+      | close_delimited:head_in_blank_line,ok       |
+      | close_delimited:head_of_http_1_0,ok         |
+      | close_delimited:head_of_chunks,ok           |
+      | close_delimited:head_of_events,ok           |
+      | close_delimited:head_after_interim,ok       |
+      | close_delimited:head_after_headers_reset,ok |
+      | close_delimited:head_in_length_reset,ok     |
+    Then each client gets 200, a length and the whole response
+    And each request was sent 2 times
+
+    Examples:
+      | connection |
+      | new        |
+      | kept       |
+
+  Scenario Outline: An order whose response ends inside its head gets an honest error
+    # Guards against a 200 for an order whose outcome isn't known, and against a second run.
+    When clients post "/orders/a" to "n1" on <connection> connections with these responses
+      | response                                    |
+      | close_delimited:head_in_version,ok          |
+      | close_delimited:head_in_status,ok           |
+      | close_delimited:head_in_status_line,ok      |
+      | close_delimited:head_after_status_line,ok   |
+      | close_delimited:head_in_name,ok             |
+      | close_delimited:head_in_length,ok           |
+      | close_delimited:head_after_length,ok        |
+      | close_delimited:head_after_headers,ok       |
+      | close_delimited:head_in_blank_line,ok       |
+      | close_delimited:head_of_http_1_0,ok         |
+      | close_delimited:head_of_chunks,ok           |
+      | close_delimited:head_of_events,ok           |
+      | close_delimited:head_after_interim,ok       |
+      | close_delimited:head_after_headers_reset,ok |
+      | close_delimited:head_in_length_reset,ok     |
+    Then each client gets the error 502
+    And each request was sent 1 time
+
+    Examples:
+      | connection |
+      | new        |
+      | kept       |
+
+  Scenario Outline: A stream whose response ends inside its head begins at another server
+    # Guards against an empty stream that looks complete.
+    When clients post "/long/a" to "n1" on <connection> connections with these responses
+      | response                                          |
+      | close_delimited:head_in_version,stream:6          |
+      | close_delimited:head_in_status,stream:6           |
+      | close_delimited:head_in_status_line,stream:6      |
+      | close_delimited:head_after_status_line,stream:6   |
+      | close_delimited:head_in_name,stream:6             |
+      | close_delimited:head_in_length,stream:6           |
+      | close_delimited:head_after_length,stream:6        |
+      | close_delimited:head_after_headers,stream:6       |
+      | close_delimited:head_in_blank_line,stream:6       |
+      | close_delimited:head_of_http_1_0,stream:6         |
+      | close_delimited:head_of_chunks,stream:6           |
+      | close_delimited:head_of_events,stream:6           |
+      | close_delimited:head_after_interim,stream:6       |
+      | close_delimited:head_after_headers_reset,stream:6 |
+      | close_delimited:head_in_length_reset,stream:6     |
+    Then each client gets the events 1 to 6 once each, and nothing else
+    And each request was sent 2 times
+
+    Examples:
+      | connection |
+      | new        |
+      | kept       |
+
+  Scenario: The rest of a stream that ends inside its head breaks the stream off visibly
+    # Guards against a resumed stream that ends as if it were complete, and against parts of
+    # a head in the middle of a stream.
+    When clients post "/long/a" to "n1" on kept connections with these responses
+      | response                                    |
+      | torn:3,close_delimited:head_in_version      |
+      | torn:3,close_delimited:head_after_headers   |
+      | torn:3,close_delimited:head_in_length       |
+      | torn:3,close_delimited:head_of_events       |
+      | torn:3,close_delimited:head_in_blank_line   |
+      | torn:3,close_delimited:head_in_length_reset |
+    Then each client gets the events 1 to 3 once each in an incomplete stream, and nothing else
+    And each request was sent 2 times
--- a/features/steps/framing_steps.py
+++ b/features/steps/framing_steps.py
@@ -2,11 +2,22 @@
 
 import http.client
 import re
+import threading
 from dataclasses import dataclass
 
 from behave import then, when
 
-from features.forwardingfleet import read_server_records, send_client_request
+from features.forwardingfleet import (
+    HOST,
+    get_address,
+    read_server_records,
+    send_client_request,
+    send_http_request,
+)
+
+#: Requests at the same time that are enough for each of three servers to get one.
+_N_OPENING_REQUESTS = 9
+_OPENING_SCRIPT = "slow:0.1"
 
 
 @dataclass(frozen=True)
@@ -23,12 +34,17 @@
     is_complete: bool = True
 
 
-def send_requests(context, name, method, target):
-    """Send a request for each row of the step's table."""
+def send_requests(context, name, method, target, is_kept=False):
+    """Send a request for each row of the step's table.
+
+    :param is_kept: whether the node is to keep connections before each request.
+    """
     context.results = []
     for row in context.table:
         script = row["response"]
         is_complete = True
+        if is_kept:
+            open_connections(context, name)
         try:
             status, headers, body = send_client_request(
                 context, name, method, target, script
@@ -40,6 +56,18 @@
         context.results.append(
             Result(script, context.request_id, (status, headers, body), is_complete)
         )
+    if is_kept:
+        check_kept_connections(context)
+
+
+def check_kept_connections(context):
+    """Check that most first attempts used a connection that was kept.
+
+    A node avoids servers that have just failed, so it may have none to some of them.
+    """
+    first_entries = [list_entries(context, result)[0] for result in context.results]
+    n_kept = sum(entry["n_earlier"] > 0 for entry in first_entries)
+    assert n_kept > len(first_entries) / 2, first_entries
 
 
 def list_entries(context, result):
@@ -57,6 +85,36 @@
     send_requests(context, name, "POST", target)
 
 
+@when('clients get "{target}" from "{name}" on {kind} connections with these responses')
+def step_get_on(context, target, name, kind):
+    send_requests(context, name, "GET", target, kind == "kept")
+
+
+@when('clients post "{target}" to "{name}" on {kind} connections with these responses')
+def step_post_on(context, target, name, kind):
+    send_requests(context, name, "POST", target, kind == "kept")
+
+
+def open_connections(context, name):
+    """Have the node keep connections to all servers."""
+    address = get_address(context, name)
+    n_results = len(context.results)
+
+    def send(number):
+        headers = {"Host": HOST, "X-Key": "k1", "X-Script": _OPENING_SCRIPT}
+        headers["X-Request-Id"] = f"opening-{n_results}-{number}"
+        assert send_http_request(address, "GET", "/lookup/a", headers)[0] == 200
+
+    senders = [
+        threading.Thread(target=send, args=(number,))
+        for number in range(_N_OPENING_REQUESTS)
+    ]
+    for sender in senders:
+        sender.start()
+    for sender in senders:
+        sender.join()
+
+
 @then("each client gets 200, a length and the whole response")
 def step_whole(context):
     for result in context.results:
--- a/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/framing.feature
+++ b/packages/apricotlift-upstreams/src/apricotlift/upstreams/tests/framing.feature
@@ -32,6 +32,35 @@
       | pool                   |
       | persistent connections |
 
+  Scenario Outline: A response that ends inside its head is never a response
+    # Guards against a status and headers that are taken for whole although the server
+    # stopped before their end.
+    Given a server whose responses end with their connection
+    When each of these responses is read through the <client>
+      | response                 | result            |
+      | head_in_version          | stream_broken |
+      | head_in_status           | stream_broken |
+      | head_in_status_line      | stream_broken |
+      | head_after_status_line   | stream_broken |
+      | head_in_name             | stream_broken |
+      | head_in_length           | stream_broken |
+      | head_after_length        | stream_broken |
+      | head_after_headers       | stream_broken |
+      | head_in_blank_line       | stream_broken |
+      | head_of_http_1_0         | stream_broken |
+      | head_of_chunks           | stream_broken |
+      | head_of_events           | stream_broken |
+      | head_after_interim       | stream_broken |
+      | head_after_headers_reset | stream_broken     |
+      | head_in_length_reset     | stream_broken     |
+    Then each response has its result
+    And no connection is kept
+
+    Examples:
+      | client                 |
+      | pool                   |
+      | persistent connections |
+
   Scenario Outline: Bytes that look like a response are part of the body
     # Guards against bytes of one response that are taken for the next response.
     Given a server whose responses end with their connection
--- a/standins/framing.py
+++ b/standins/framing.py
@@ -2,11 +2,11 @@
 
 Such a response ends with its connection (RFC 9112, section 6.3). Run as
 ``python -m standins.framing``; the path of a request names the response, one of
-:data:`BODIES` or :data:`EVENT_ENDS` with the number of the last event, as in
-``/regular`` and ``/whole_events:3``. ``repeated_events`` begin with the first event
-where a later one is asked for, and ``sized_events`` have a length. A name that ends in
-``_reset`` ends with a reset of the connection, one that ends in ``_stall`` is left
-open, all others end regularly.
+:data:`BODIES`, :data:`HEAD_ENDS` or :data:`EVENT_ENDS` with the number of the last
+event, as in ``/regular`` and ``/whole_events:3``. ``repeated_events`` begin with the
+first event where a later one is asked for, and ``sized_events`` have a length. A name
+that ends in ``_reset`` ends with a reset of the connection, one that ends in ``_stall``
+is left open, all others end regularly.
 """
 
 import socket
@@ -49,6 +49,25 @@
     "no_content_stream": (b"HTTP/1.1 204 No Content\r\n" + _EVENT_STREAM, b""),
 }
 
+#: By name: where the head of a response ends; ``{}`` stands for the echoed headers.
+HEAD_ENDS: dict[str, bytes] = {
+    "head_in_version": b"HTTP/1",
+    "head_in_status": b"HTTP/1.1 20",
+    "head_in_status_line": b"HTTP/1.1 200 OK",
+    "head_after_status_line": _HTTP_1_1,
+    "head_in_name": _HTTP_1_1 + b"{}content-le",
+    "head_in_length": _HTTP_1_1 + b"{}content-length: 1",
+    "head_after_length": _HTTP_1_1 + b"{}content-length: 0\r\n",
+    "head_after_headers": _HTTP_1_1 + b"{}",
+    "head_in_blank_line": _HTTP_1_1 + b"{}content-length: 0\r\n\r",
+    "head_of_http_1_0": _HTTP_1_0 + b"{}",
+    "head_of_chunks": _HTTP_1_1 + b"{}transfer-encoding: chunked\r\n",
+    "head_of_events": _HTTP_1_1 + b"{}" + _EVENT_STREAM,
+    "head_after_interim": b"HTTP/1.1 102 Processing\r\n\r\n" + _HTTP_1_1 + b"{}",
+    "head_after_headers_reset": _HTTP_1_1 + b"{}",
+    "head_in_length_reset": _HTTP_1_1 + b"{}content-length: 1",
+}
+
 _FAILURE = b'{"error": "failed"}'
 _FAILURE_HEAD = b"HTTP/1.1 503 Service Unavailable\r\n"
 _FAILURE_HEADERS = b"content-type: application/json\r\ncontent-length: 19\r\n"
@@ -91,8 +110,8 @@
 ) -> None:
     """Send a response and end its connection.
 
-    :param kind: name in :data:`BODIES`, or in :data:`EVENT_ENDS` with a colon and the
-        number of the last event.
+    :param kind: name in :data:`BODIES` or :data:`HEAD_ENDS`, or in
+        :data:`EVENT_ENDS` with a colon and the number of the last event.
     :param text: text that identifies the response.
     """
     name, _, last_event_number = kind.partition(":")
@@ -107,6 +126,8 @@
             await stream.send(f"id: {number}\ndata: {text}\n\n".encode())
             await anyio.sleep(_EVENT_INTERVAL_S if "at_once" not in name else 0)
         end = EVENT_ENDS[name]
+    elif name in HEAD_ENDS:
+        end = HEAD_ENDS[name].replace(b"{}", lines)
     else:
         start, body = BODIES[name]
         end = start + lines + b"\r\n" + body.replace(b"{}", text.encode())
--- a/standins/opaque.py
+++ b/standins/opaque.py
@@ -16,6 +16,7 @@
 """
 
 import contextlib
+import itertools
 import json
 import os
 import sys
@@ -40,8 +41,8 @@
 class FarmState:
     """State that all addresses of one process share.
 
-    :param seen: received requests with their id, server and headers and whether they
-        ran.
+    :param seen: received requests with their id, server and headers, whether they ran,
+        and how many requests came before them on their connection.
     :param n_arrivals: how often each request id has arrived.
     :param weights: version of each model by server.
     :param orders: received orders to load weights.
@@ -71,6 +72,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    n_earlier: int = 0
 
 
 class _ConnectionClosed(Exception):
@@ -83,8 +85,9 @@
     connection = h11.Connection(h11.SERVER)
     async with stream:
         try:
-            while True:
+            for n_earlier in itertools.count():
                 request = await _read_request(connection, stream)
+                request.n_earlier = n_earlier
                 await _handle_request(state, name, connection, stream, request)
                 if connection.our_state is h11.MUST_CLOSE:
                     return
@@ -175,6 +178,7 @@
         "target": request.target,
         "headers": request.headers,
         "n_body": len(request.body),
+        "n_earlier": request.n_earlier,
         "at": time.monotonic(),
         "ran": behaviour not in ("shed", "busy"),
         "left_early": False,
