--- a/features/endless.feature
+++ b/features/endless.feature
@@ -59,3 +59,28 @@
     And the memory of "n1" has grown by less than 40 MB
     When a client gets "/lookup/a" from "n1"
     Then the client gets 200 with the response and the stamp of a server
+
+  Scenario: A kept connection on which bytes come without end is closed
+    # Guards against limits that hold only for the first response of a connection.
+    Given "n1" keeps connections to all servers
+    When a client gets "/lookup/a" from "n1" while the first server sends without end
+      | place       | code              | limit                          |
+      | headers     | upstream_protocol | headers exceed 65536 bytes     |
+      | no_response | upstream_protocol | headers exceed 65536 bytes     |
+      | body        | upstream_protocol | response exceeds 4000000 bytes |
+    Then each client gets 200 with the response and the stamp of the second server
+    And the log of "n1" shows for each request the code and the limit
+    And most of these requests were sent on a kept connection
+
+  Scenario Outline: Clients that don't read hold little of a node's memory
+    # Guards against a process that keeps what its servers send faster than its clients
+    # read, until its memory is used up.
+    When 12 clients send "<method>" "<target>" to "n1" with the script "<script>" and don't read
+    Then the memory of "n1" has grown by less than 40 MB after 3 s
+    When a client gets "/lookup/a" from "n1"
+    Then the client gets 200 with the response and the stamp of a server
+
+    Examples:
+      | method | target    | script                  |
+      | POST   | /long/a   | endless:numbered_events |
+      | GET    | /lookup/a | large:3900000           |
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -1,16 +1,26 @@
 """Steps for servers that send bytes without end."""
 
 import re
+import socket
 import threading
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
 
-from features.forwardingfleet import read_server_records, send_client_request
+from features.forwardingfleet import (
+    HOST,
+    get_address,
+    read_server_records,
+    send_client_request,
+)
+from features.keptconnections import check_kept_connections, open_connections
 from features.waiting import wait_until
 
+_SMALL_BUFFER_BYTES = 16_384
+_CLIENT_INTERVAL_S = 0.1
+
 
 @dataclass(frozen=True)
 class Result:
@@ -69,6 +79,43 @@
     assert len(context.results) == n, context.results
 
 
+@when(
+    '{n:d} clients send "{method}" "{target}" to "{name}" with the script "{script}" and don\'t read'
+)
+def step_send_without_reading(context, n, method, target, name, script):
+    context.memory_before_mb = read_memory_mb(context.nodes[name], "VmRSS")
+    host, port = get_address(context, name).split(":")
+    for number in range(n):
+        client = socket.socket()
+        context.add_cleanup(client.close)
+        # The system would otherwise take much of the response for the client.
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES)
+        client.connect((host, int(port)))
+        head = f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Key: k1\r\n"
+        head += f"X-Request-Id: idle-{number}\r\nX-Script: {script}\r\nX-Model: m\r\n"
+        head += "X-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n"
+        client.sendall(head.encode())
+        # Responses that are read at the same time share a budget.
+        time.sleep(_CLIENT_INTERVAL_S)
+
+
+@then('the memory of "{name}" has grown by less than {n:d} MB after {seconds:d} s')
+def step_memory_after(context, name, n, seconds):
+    time.sleep(seconds)
+    step_memory(context, name, n)
+
+
+@given('"{name}" keeps connections to all servers')
+def step_keep_connections(context, name):
+    context.results = []
+    open_connections(context, name)
+
+
+@then("most of these requests were sent on a kept connection")
+def step_kept_connections(context):
+    check_kept_connections(context)
+
+
 @then("each client gets {status:d} within {max_s:g} seconds")
 def step_each_status(context, status, max_s):
     for result in context.results:
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -5,6 +5,7 @@
 bytes each place has sent, and how many of its connections the callers have closed.
 """
 
+import itertools
 import json
 from dataclasses import dataclass, field
 
@@ -23,8 +24,12 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+def _build_event(number: int) -> bytes:
+    return b"id: %d\ndata: %s\n\n" % (number, _JUNK)
+
+
 #: By place: what is sent once, with the echoed headers in the place of ``{}``, and what
-#: is then sent again and again.
+#: is then sent again and again; numbered events are built one by one.
 PLACES: dict[str, tuple[bytes, bytes]] = {
     "status_line": (b"HTTP/1.1 200 ", _JUNK),
     "header_line": (_OK + b"x-junk: ", _JUNK),
@@ -42,6 +47,7 @@
     "sized_body": (_OK + b"{}content-length: 1000000000000\r\n\r\n", _JUNK),
     "chunked_body": (_CHUNKED + b"{}\r\n", _encode_chunk(_JUNK)),
     "event": (_EVENT_STREAM + b"{}\r\n", _encode_chunk(_JUNK)),
+    "numbered_events": (_EVENT_STREAM + b"{}\r\n", b""),
     "unnumbered_events": (
         _EVENT_STREAM + b"{}\r\n",
         _encode_chunk(b"data: junk\n\n" * 1000),
@@ -72,9 +78,10 @@
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     try:
         await stream.send(start.replace(b"{}", lines.encode()))
-        while True:
-            await stream.send(repeated)
-            state.n_sent[place] = state.n_sent.get(place, 0) + len(repeated)
+        for number in itertools.count(1):
+            data = repeated or _encode_chunk(_build_event(number))
+            await stream.send(data)
+            state.n_sent[place] = state.n_sent.get(place, 0) + len(data)
     except (anyio.BrokenResourceError, anyio.ClosedResourceError):
         state.n_closed[place] = state.n_closed.get(place, 0) + 1
 
