Count large responses in the read budget until clients have taken them

Twelve clients that didn't read 9 MB each made a node with a limit of 150 MB grow from 54 to 139 and 137 MB.

Cause: a whole response left the read budget once it had been handed to the connection's transport, which holds it until the client takes it.

Change: bodies over 64 KiB are sent in pieces, no faster than the client takes them, and hold their share of the budget meanwhile. A ready response is sent past the request's deadline; a client that takes nothing for the idle time of connections gets no more (slow_reader).

--- a/features/steps/stops_steps.py
+++ b/features/steps/stops_steps.py
@@ -39,6 +39,21 @@
     context.execute_steps(f'Given a store, {n} servers and the node "{name}"')
 
 
+@when(
+    'a client of "{node}" asks for {n_bytes:d} bytes within {limit_s:d} s on a {kind} connection'
+)
+def step_ask_within(context, node, n_bytes, limit_s, kind):
+    context.deadline_ms = 1000 * limit_s
+    step_ask_without_reading(context, node, n_bytes, kind)
+
+
+@when('{n:d} clients of "{node}" in turn ask for {n_bytes:d} bytes and go away')
+def step_ask_and_leave(context, n, node, n_bytes):
+    for _ in range(n):
+        step_ask_without_reading(context, node, n_bytes, "new")
+        context.client.close()
+
+
 @when('a client of "{node}" asks for {n_bytes:d} bytes on a {kind} connection')
 def step_ask_without_reading(context, node, n_bytes, kind):
     host, port = get_address(context, node).split(":")
@@ -49,18 +64,20 @@
     context.client.connect((host, int(port)))
     context.n_wanted_bytes = n_bytes
     if kind == "kept":
-        send_lookup(context.client, "first", "ok")
+        send_lookup(context, "first", "ok")
         read_response(context.client)
-    send_lookup(context.client, "large", f"large:{n_bytes}")
-    wait_until(lambda: "large" in list_request_ids(context))
+    request_id = f"large-{len(list_request_ids(context))}"
+    send_lookup(context, request_id, f"large:{n_bytes}")
+    wait_until(lambda: request_id in list_request_ids(context))
     # The node has the whole response as soon as its first bytes arrive.
     wait_until(lambda: context.client.recv(1, socket.MSG_PEEK))
 
 
-def send_lookup(client, request_id, script):
+def send_lookup(context, request_id, script):
+    deadline_ms = getattr(context, "deadline_ms", 8000)
     head = f"GET /lookup/a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
-    head += f"X-Key: k1\r\nX-Script: {script}\r\nX-Deadline-Ms: 8000\r\n\r\n"
-    client.sendall(head.encode())
+    head += f"X-Key: k1\r\nX-Script: {script}\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    context.client.sendall(head.encode())
 
 
 def list_request_ids(context):
@@ -80,6 +97,7 @@
         return b""
 
 
+@when("the client begins to read {seconds:d} s after that")
 @when("the client begins to read {seconds:d} s after SIGTERM")
 def step_read_late(context, seconds):
     time.sleep(seconds)
--- a/packages/apricotlift-core/src/apricotlift/core/errors.py
+++ b/packages/apricotlift-core/src/apricotlift/core/errors.py
@@ -36,6 +36,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    SLOW_READER = "slow_reader"
     SLOW_SENDER = "slow_sender"
     NOT_FOUND = "not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/asgiapps.py
@@ -8,6 +8,7 @@
 import anyio
 from apricotlift.core import clocks, logs
 from apricotlift.core.errors import ApricotliftError, Code, Ran
+from apricotlift.forwarding.asgiresponses import AsgiResponse
 from apricotlift.forwarding.entities import Account, ClientRequest, Configuration, Route
 from apricotlift.forwarding.requests import serve_request
 from apricotlift.forwarding.requeststate import Headers
@@ -38,48 +39,6 @@
     """The client closed its connection before the response was complete."""
 
 
-class AsgiResponse:
-    """Sends the response to a client over ASGI."""
-
-    def __init__(self, send, node: Runtime):
-        self._send = send
-        self._node = node
-        self.is_started = False
-        self.is_complete = False
-        self.status = 0
-
-    async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with its content length."""
-        all_headers = [*headers, ("content-length", str(len(body)))]
-        await self.start(status, all_headers)
-        await self._send({"type": "http.response.body", "body": body})
-        self.is_complete = True
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send status and headers; without ``content-length``, the body is chunked."""
-        self.is_started = True
-        self.status = status
-        raw_headers = [
-            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
-        ]
-        if self._node.is_draining:
-            raw_headers.append((b"connection", b"close"))
-        await self._send(
-            {"type": "http.response.start", "status": status, "headers": raw_headers}
-        )
-
-    async def send_chunk(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
-
-    async def finish(self) -> None:
-        """Mark the end of the body."""
-        await self._send({"type": "http.response.body", "body": b""})
-        self.is_complete = True
-
-
 def build_client_app(node: Runtime):
     """Return the ASGI app that accepts client requests."""
 
