Let other tasks run between the signals of a long series

A process that got signals faster than it handled them would have done nothing else, since reading a signal that had already come never gave way to other tasks. Found on reading the diff; no caller saw it.

Change: the signals that have come are read together, repetitions of the one before are dropped, and each return gives way to other tasks.

Evidence: 1,000 SIGHUP beside another task gave 1,000 returns before, without a turn of that task (the new scenario failed); fewer than 10 now. 14 scenarios of the phases and 15 of features/signals.feature pass.

--- a/packages/apricotlift-process/src/apricotlift/process/signals.py
+++ b/packages/apricotlift-process/src/apricotlift/process/signals.py
@@ -12,10 +12,14 @@
 
 import os
 import signal
+from collections import deque
+from itertools import groupby
 
 #: ``SIGHUP`` says that the settings have changed; the others stop the process.
 SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
+_READ_BYTES = 4_096
+
 
 class CapturedSignals:
     """The signals that this process has got and not yet handled.
@@ -25,21 +29,27 @@
 
     def __init__(self, descriptor: int):
         self._descriptor = descriptor
+        self._pending: deque[signal.Signals] = deque()
 
     async def receive(self) -> signal.Signals:
         """Wait for the next signal and return it; one task at a time may wait."""
         # Imported here because it takes much longer than capturing the signals.
         import anyio
-
-        while True:
-            try:
-                (number,) = os.read(self._descriptor, 1)
-            except BlockingIOError:
-                await anyio.wait_readable(self._descriptor)
-                continue
-            # Other parts of the program may have handlers for other signals.
-            if number in SIGNALS:
-                return signal.Signals(number)
+        import anyio.lowlevel
+
+        # Lets other tasks run between the signals of a long series.
+        await anyio.lowlevel.checkpoint()
+        while not self._pending:
+            await anyio.wait_readable(self._descriptor)
+            numbers = os.read(self._descriptor, _READ_BYTES)
+            # A signal that repeats the one before it says nothing new. Other parts of
+            # the program may have handlers for other signals.
+            self._pending.extend(
+                signal.Signals(number)
+                for number, _ in groupby(numbers)
+                if number in SIGNALS
+            )
+        return self._pending.popleft()
 
     def ignore(self) -> None:
         """Ignore the signals from now on, until the process has exited.
--- a/packages/apricotlift-process/src/apricotlift/process/tests/lifecycle.feature
+++ b/packages/apricotlift-process/src/apricotlift/process/tests/lifecycle.feature
@@ -32,6 +32,11 @@
     When a process gets "SIGHUP SIGTERM SIGHUP SIGINT" before its loop runs
     Then it receives "SIGHUP SIGTERM SIGHUP SIGINT"
 
+  Scenario: A long series of signals leaves time for other tasks
+    # Guards against a process that does nothing but reload its settings.
+    When a process gets 1000 times "SIGHUP" while another task runs
+    Then it receives fewer than 10 signals, and the other task has run in between
+
   Scenario: Signals after the last phase don't end a process
     # Guards against the default actions that the interpreter restores as it exits.
     When a process that ignores signals gets "SIGHUP SIGTERM SIGINT" as it exits
--- a/packages/apricotlift-process/src/apricotlift/process/tests/steps/lifecycle_steps.py
+++ b/packages/apricotlift-process/src/apricotlift/process/tests/steps/lifecycle_steps.py
@@ -22,6 +22,37 @@
 anyio.run(receive)
 """
 
+_RECEIVE_SERIES = """
+import signal, sys
+import anyio
+import anyio.lowlevel
+from apricotlift.process import capture_signals
+captured = capture_signals()
+n_turns = 0
+async def take_turns():
+    global n_turns
+    while True:
+        n_turns += 1
+        await anyio.lowlevel.checkpoint()
+async def run():
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(take_turns)
+        n_received = n_idle_turns = 0
+        for _ in range(int(sys.argv[1])):
+            signal.raise_signal(signal.Signals[sys.argv[2]])
+        while True:
+            n_turns_before = n_turns
+            with anyio.move_on_after(0.3) as scope:
+                await captured.receive()
+            if scope.cancelled_caught:
+                break
+            n_received += 1
+            n_idle_turns += n_turns == n_turns_before
+        print(n_received, n_idle_turns)
+        tasks.cancel_scope.cancel()
+anyio.run(run)
+"""
+
 # An object that is kept until the end of the interpreter is deleted after it has
 # restored the default actions of signals.
 _IGNORE_AND_EXIT = """
@@ -89,6 +120,19 @@
     context.ended = run_script(_RECEIVE_EARLY, names)
 
 
+@when('a process gets {n:d} times "{name}" while another task runs')
+def step_signal_series(context, n, name):
+    context.ended = run_script(_RECEIVE_SERIES, f"{n} {name}")
+
+
+@then("it receives fewer than {n:d} signals, and the other task has run in between")
+def step_receives_few(context, n):
+    assert context.ended.returncode == 0, context.ended
+    n_received, n_without_turn = map(int, context.ended.stdout.split())
+    assert 1 <= n_received < n, context.ended
+    assert n_without_turn == 0, context.ended
+
+
 @when('a process that ignores signals gets "{names}" as it exits')
 def step_signal_late(context, names):
     context.ended = run_script(_IGNORE_AND_EXIT, names)
