--- a/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
+++ b/packages/apricotlift-control/src/apricotlift/control/tests/steps/platform_steps.py
@@ -171,7 +171,12 @@
 
 @when('an operator\'s process that waits for acceptance gets "{signal_name}"')
 def signal_while_waiting(context, signal_name):
-    apply_and_signal(context, signal.Signals[signal_name], wait_s=120)
+    # These tests may run under nohup, whose children would ignore SIGHUP.
+    former = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        apply_and_signal(context, signal.Signals[signal_name], wait_s=120)
+    finally:
+        signal.signal(signal.SIGHUP, former)
 
 
 @when("an operator's process that ignores SIGHUP waits for acceptance and gets it")
