Record named weight versions for nodes that start (VERSION)

Callers got prompts run on replaced weights, for as long as no other version was named, after all nodes had lost power and started again.

Cause: a write of the operator that got no answer may be carried out after a newer version was named. Nodes that run ignore the older version, but which one is the newest was known to processes only, so nodes that start, or that were cut off meanwhile, took the row's.

Nodes that run never log a lower version.

Change: each newly named version is recorded as a row of its own in the nodes' own table, which is followed already (one write a version, no call more); the highest counts, so late and repeated writes take nothing back. A node is ready and orders engines only once it has read the records. A running node takes over a recorded version that the operator's row no longer shows. The older row is logged and counted.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashreports.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashreports.py
@@ -1,11 +1,10 @@
 """Rows by which nodes tell each other of crashes and of parts that were cleared."""
 
 from apricotlift.core.hashing import digest
+from apricotlift.forwarding.clusterrows import read_content
 from apricotlift.forwarding.entities import Prompt
-from apricotlift.platform.table import Row, decode_values
 from pydantic import BaseModel, TypeAdapter
 
-PARTITION = ""
 N_ITEMS_MAX = 300
 _PART_KEY_LENGTH_MAX = 64
 
@@ -42,12 +41,6 @@
 
 
 _ROW_CONTENT = TypeAdapter(CrashReport | Clearance)
-_JSON_OBJECT = TypeAdapter(dict)
-
-
-def build_row(key: str, content: CrashReport | Clearance) -> Row:
-    """Return the row that holds a report or a clearance."""
-    return Row(PARTITION, key, {"content": content.model_dump_json()})
 
 
 def parse_row(value: bytes) -> CrashReport | Clearance:
@@ -55,11 +48,7 @@
 
     :raises ValueError: if the row has another form.
     """
-    try:
-        values = decode_values(_JSON_OBJECT.validate_json(value))
-        return _ROW_CONTENT.validate_json(values["content"])
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"row has no content: {error!r}") from error
+    return _ROW_CONTENT.validate_json(read_content(value))
 
 
 def list_part_keys(prompt: Prompt | None) -> list[str]:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -159,6 +159,11 @@
         """
         return self._unchanged_until
 
+    @property
+    def certain_until(self) -> float:
+        """Time up to which all rows that were written have been passed on."""
+        return self._certain_until
+
     @property
     def is_failing(self) -> bool:
         """Whether the last read or poll failed."""
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -24,6 +24,8 @@
     ConnectionGuard,
     ConnectionLimits,
 )
+from apricotlift.forwarding.clusterrows import TABLE as CLUSTER_ROWS_TABLE
+from apricotlift.forwarding.clusterrows import ClusterRows
 from apricotlift.forwarding.clustersecret import SecretKeeper
 from apricotlift.forwarding.dialect import Dialect
 from apricotlift.forwarding.engineloads import EngineLoads
@@ -53,6 +55,7 @@
 from apricotlift.forwarding.storecleaner import StoreCleaner
 from apricotlift.forwarding.suspects import Suspects
 from apricotlift.forwarding.warmup import Members, WarmupLimits
+from apricotlift.forwarding.weightrecords import WeightRecords
 from apricotlift.forwarding.weightrollout import WeightRollout
 from apricotlift.process import CapturedSignals
 from apricotlift.process.lifecycle import Lifecycle
@@ -124,6 +127,8 @@
         store.watch_era(relay.note_era)
         routing_state = RoutingState(dialect, relay, metrics)
         warmup = _build_warmup(settings, routing_state, metrics)
+        cluster_rows = ClusterRows(relay, metrics)
+        cluster_table = store.open_table(CLUSTER_ROWS_TABLE)
         relay.register(routing_state.operator_feed)
         relay.register(routing_state.servers_feed)
         tasks.start_soon(routing_state.operator_feed.run)
@@ -145,8 +150,8 @@
             tasks,
             routing_state,
             Suspects(
-                store.open_table("apricotlift-suspects"),
-                relay,
+                cluster_table,
+                cluster_rows,
                 metrics,
                 count_nodes=lambda: len(membership.view.get_eligible()),
             ),
@@ -154,7 +159,15 @@
             budget,
             warmup,
         )
-        relay.register(node.suspects.feed)
+        weight_records = WeightRecords(
+            settings.node.name,
+            cluster_table,
+            cluster_rows,
+            routing_state,
+            lambda: list(membership.view.get_eligible()),
+            metrics,
+        )
+        relay.register(cluster_rows.feed)
         _connect_relay(relay, settings.node, peer_network)
         stack.push_async_callback(node.handles.close)
         weight_rollout = WeightRollout(
@@ -180,7 +193,8 @@
         )
         for run_task in (
             store_cleaner.run,
-            node.suspects.feed.run,
+            cluster_rows.feed.run,
+            weight_records.run,
             node.suspects.run_maintenance,
             node.cache_index.run,
             weight_rollout.run,
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -45,6 +45,9 @@
     :param evacuations: failure domains whose servers may get no requests.
     :param watch_entry: called with each valid entry, and whether the table is read for
         the first time.
+    :param watch_weights: called when a newer weight version was learned of.
+    :param has_recorded_weights: returns whether the versions that the nodes have
+        recorded are known.
     """
 
     dialect: Dialect
@@ -58,6 +61,8 @@
     note_cold: Callable[[Server, float], None] = lambda server, seconds: None
     evacuations: Evacuations = field(init=False)
     watch_entry: Callable[[Server, bool], None] = lambda server, is_first: None
+    watch_weights: Callable[[], None] = lambda: None
+    has_recorded_weights: Callable[[], bool] = lambda: True
     operator_feed: Feed = field(init=False)
     servers_feed: Feed = field(init=False)
     _configuration_row: tuple[int, int] = (0, 0)
@@ -92,7 +97,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether requests can be routed."""
-        return self.configuration is not None and self.servers_feed.is_loaded
+        return (
+            self.configuration is not None
+            and self.servers_feed.is_loaded
+            and self.has_recorded_weights()
+        )
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of the path, if any."""
@@ -258,17 +267,35 @@
     def _apply_weights(
         self, model: str, version: int, is_full_table: bool = False
     ) -> None:
-        known = self.weight_targets.get_newest(model)
         named = NamedWeights(version, self.clock(), self.operator_feed.unchanged_until)
+        self._add_weights(model, named, "full_table" if is_full_table else "change")
+
+    def apply_recorded_weights(self, model: str, version: int) -> None:
+        """Apply a version that a node has recorded, which counts as named long ago."""
+        self._add_weights(model, NamedWeights(version, self.clock()), "record")
+
+    def _add_weights(self, model: str, named: NamedWeights, source: str) -> None:
+        known = self.weight_targets.get_newest(model)
         if not self.weight_targets.add(model, named):
+            if source != "record" and named.version < known.version:
+                self.metrics.count("older_weights_ignored_total")
+                logs.log(
+                    logs.WARNING,
+                    "older_weights_ignored",
+                    model=model,
+                    version=named.version,
+                    known=known.version,
+                    source=source,
+                )
             return
+        self.watch_weights()
         logs.log(
             logs.INFO,
             "weights_named",
             model=model,
-            version=version,
+            version=named.version,
             previous=known.version if known else None,
-            source="full_table" if is_full_table else "change",
+            source=source,
             named_within_s=_round_age_s(named.noticed_at - named.named_after),
         )
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/suspects.py
@@ -16,6 +16,12 @@
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.hashing import digest
 from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.clusterrows import (
+    PARTITION,
+    TABLE,
+    ClusterRows,
+    build_row,
+)
 from apricotlift.forwarding.crashchecks import BrokenRequest, CrashCheck, CrashChecks
 from apricotlift.forwarding.crashevidence import (
     PART_RETENTION_S,
@@ -24,19 +30,15 @@
 )
 from apricotlift.forwarding.crashreports import (
     N_ITEMS_MAX,
-    PARTITION,
     Clearance,
     CrashReport,
-    build_row,
     list_part_keys,
     parse_row,
 )
 from apricotlift.forwarding.entities import ClientRequest, Prompt, Server
-from apricotlift.forwarding.feeds import Feed, RowSet, RowSource, StoredRow, apply_rows
+from apricotlift.forwarding.feeds import Feed, RowSet, StoredRow, apply_rows
 from apricotlift.platform.table import Delete, Put
 
-TABLE = "apricotlift-suspects"
-
 #: Number of crashes at which a request is refused.
 N_CRASHES_MAX = 3
 CRASH_RETENTION_S = 120.0
@@ -90,17 +92,17 @@
 class Suspects:
     """The recent crashes known to this node.
 
-    :param table: writes rows of :data:`TABLE`.
+    :param table: writes rows of the nodes' own table.
+    :param rows: the followed table.
     :param count_nodes: returns the number of live nodes.
     """
 
     table: object
-    source: RowSource
+    rows: ClusterRows
     metrics: Metrics
     clock: Callable[[], float] = clocks.monotonic
     random: Random = field(default_factory=Random)
     count_nodes: Callable[[], int] = lambda: 1
-    feed: Feed = field(init=False)
     evidence: CrashEvidence = field(init=False)
     checks: CrashChecks = field(init=False)
     _crashes: OrderedDict[str, dict[Incarnation, float]] = field(
@@ -119,10 +121,15 @@
     _era: int = 0
 
     def __post_init__(self):
-        self.feed = Feed(self.source, TABLE, self._apply, self.metrics, self.clock)
+        self.rows.register("", self._apply)
         self.evidence = CrashEvidence(self.clock)
         self.checks = CrashChecks(self.count_own_crash)
 
+    @property
+    def feed(self) -> Feed:
+        """The feed of the table."""
+        return self.rows.feed
+
     def check(self, fingerprint: str, prompt: Prompt | None = None) -> None:
         """Refuse a request that has crashed too many servers, or whose parts have.
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/forwarding_fakes.py
@@ -20,7 +20,10 @@
     TargetWeights,
 )
 from apricotlift.forwarding.feeds import RowSet, StoredRow
-from apricotlift.platform.table import Put, Row
+from apricotlift.platform.table import Put, Row, encode_values
+from pydantic import TypeAdapter
+
+_ENCODER = TypeAdapter(dict)
 
 NAMES = HeaderNames(
     *(
@@ -97,6 +100,32 @@
             raise ApricotliftError(Code.TABLE_UNCLEAR, "answer lost", Ran.MAYBE)
 
 
+@dataclass
+class FollowedTable(MemoryTable):
+    """A table whose changes are kept as rows of a feed."""
+
+    changes: list[StoredRow] = field(default_factory=list)
+    stored: dict[str, StoredRow] = field(default_factory=dict)
+
+    async def transact(self, writes, token=""):
+        if self.fails == "no":
+            raise ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
+        for write in writes:
+            _, key = get_place(write)
+            value = None
+            if isinstance(write, Put):
+                value = _ENCODER.dump_json(encode_values(write.row.values))
+            self.add(key, value)
+        await super().transact(writes, token)
+
+    def add(self, key, value):
+        row = StoredRow(key, value, len(self.changes) + 1)
+        self.changes.append(row)
+        self.stored.pop(key, None)
+        if value is not None:
+            self.stored[key] = row
+
+
 def get_place(write):
     if isinstance(write, Put):
         return write.row.pk, write.row.sk
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/suspects_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/suspects_steps.py
@@ -2,57 +2,26 @@
 
 import random
 import socket
-from dataclasses import dataclass, field
 from types import SimpleNamespace
 from unittest.mock import patch
 
 import anyio
-from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.hashing import digest
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding import attempttracking
 from apricotlift.forwarding.attempttracking import AttemptTracker
+from apricotlift.forwarding.clusterrows import ClusterRows
 from apricotlift.forwarding.crashchecks import BrokenRequest, CrashCheck
 from apricotlift.forwarding.crashevidence import N_CRASHES_KEPT, N_PARTS_KEPT
 from apricotlift.forwarding.crashreports import list_part_keys, parse_row
 from apricotlift.forwarding.entities import Prompt, PromptPart, Server
-from apricotlift.forwarding.feeds import RowSet, StoredRow
+from apricotlift.forwarding.feeds import RowSet
 from apricotlift.forwarding.suspects import Suspects
-from apricotlift.forwarding.tests.forwarding_fakes import Clock, MemoryTable, get_place
-from apricotlift.platform.table import Put, encode_values
+from apricotlift.forwarding.tests.forwarding_fakes import Clock, FollowedTable
 from behave import given, then, when
-from pydantic import TypeAdapter
 
 LIMIT_S = 10
 
-ENCODER = TypeAdapter(dict)
-
-
-@dataclass
-class FollowedTable(MemoryTable):
-    """A table whose changes are kept as rows of a feed."""
-
-    changes: list[StoredRow] = field(default_factory=list)
-    stored: dict[str, StoredRow] = field(default_factory=dict)
-
-    async def transact(self, writes, token=""):
-        if self.fails == "no":
-            raise ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
-        for write in writes:
-            _, key = get_place(write)
-            value = None
-            if isinstance(write, Put):
-                value = ENCODER.dump_json(encode_values(write.row.values))
-            self.add(key, value)
-        await super().transact(writes, token)
-
-    def add(self, key, value):
-        row = StoredRow(key, value, len(self.changes) + 1)
-        self.changes.append(row)
-        self.stored.pop(key, None)
-        if value is not None:
-            self.stored[key] = row
-
 
 @given('the nodes "{names}"')
 def step_nodes(context, names):
@@ -65,8 +34,9 @@
 
 
 def start(context, name):
+    rows = ClusterRows(None, Metrics(), context.clock)
     context.nodes[name] = Suspects(
-        context.suspects_table, None, Metrics(), context.clock, random.Random(name)
+        context.suspects_table, rows, Metrics(), context.clock, random.Random(name)
     )
     # Stores return a whole table in the order of its keys, not of its changes.
     rows = tuple(
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrollout.py
@@ -118,6 +118,8 @@
 
     async def _run_once(self) -> None:
         await self._lease.ensure_row()
+        if not self.routing_state.has_recorded_weights():
+            return
         outdated = self.routing_state.list_outdated_engines()
         if not outdated:
             self._sent_orders.clear()
