--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/feeds.py
@@ -4,26 +4,41 @@
 table is read again when the store has discarded the history that the next poll needs,
 and when the store has come back from a copy, which begins a new era: versions are only
 comparable within an era.
+
+A call that the store doesn't answer must not hide that the store is back. Once an
+answer is overdue, further calls are sent beside those that wait, and the first answer
+counts.
 """
 
+import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
 from apricotlift.core import clocks, logs
-from apricotlift.core.errors import ApricotliftError, Code
+from apricotlift.core.errors import ApricotliftError, Code, Scope
 from apricotlift.core.metrics import Metrics
+from apricotlift.forwarding.overlappedcalls import Answer, call_until_answered
 
 #: Time for which the store holds a poll open without a change. A dead connection is
 #: detected only after this time, which therefore has to fit into the time limit for
 #: applying a configuration.
 POLL_S = 2.2
 _RETRY_PAUSE_MIN_S = 0.08
-_RETRY_PAUSE_MAX_S = 0.6
+_RETRY_PAUSE_MAX_S = 0.45
 _REASON_LENGTH_MAX = 200
 
+#: An answer is overdue so long after the end of the time for which the store holds a
+#: poll open.
+_OVERDUE_S = 0.3
+#: Time between calls while answers are overdue. The store's return is noticed within
+#: this time.
+_PROBE_INTERVAL_S = 0.6
+#: Reading a whole table may take several calls.
+_LOAD_INTERVAL_S = 1.2
+
 
 @dataclass(frozen=True)
 class StoredRow:
@@ -143,6 +158,7 @@
         self._unchanged_until = float("-inf")
         self._failing_since: float | None = None
         self._recovered_at = float("-inf")
+        self._unanswered_at = float("-inf")
 
     @property
     def age_s(self) -> float:
@@ -170,29 +186,34 @@
         return self._failing_since is not None
 
     @property
-    def since_recovery_s(self) -> float:
-        """Seconds since the store first answered again after a failure."""
-        return self._clock() - self._recovered_at
+    def recovered_at(self) -> float:
+        """Time of the store's first answer after its last failure."""
+        return self._recovered_at
+
+    @property
+    def unanswered_at(self) -> float:
+        """Time of the last call before :attr:`recovered_at` that got no answer.
+
+        The store came back between these two times.
+        """
+        return self._unanswered_at
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
-        pause_s = _RETRY_PAUSE_MIN_S
         while True:
             try:
                 if self._must_load:
                     await self._load()
                 while not self._must_load:
                     await self._poll()
-                    pause_s = _RETRY_PAUSE_MIN_S
             except ApricotliftError as error:
                 if error.code is Code.HISTORY_LOST:
                     self._must_load = True
                     self._metrics.count("feed_history_lost_total", table=self.table)
                     logs.log(logs.INFO, "feed_history_lost", table=self.table)
                     continue
-                self._note_error(error)
-                await anyio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(_RETRY_PAUSE_MAX_S, pause_s * 2)
+                self._note_error(error, self._clock())
+                await anyio.sleep(self._get_pause_s(1))
             # The process would end with this task, and all nodes read the same table.
             except Exception:
                 self._must_load = True
@@ -212,7 +233,7 @@
         if era <= self._newest_era:
             return
         self._newest_era = era
-        self._recovered_at = self._clock()
+        self._note_restore()
         if self._poll_scope is not None:
             self._poll_scope.cancel()
 
@@ -231,38 +252,39 @@
             self._pass_on(rows, True)
 
     async def _load(self) -> None:
-        asked_at = self._clock()
-        rows = await self._source.read_table(self.table)
+        answer = await self._call(
+            lambda _: self._source.read_table(self.table),
+            lambda _: _LOAD_INTERVAL_S,
+        )
+        rows = answer.result
         if rows.era < max(self.era, self._newest_era):
             message = f"rows of {self.table} are of era {rows.era}, which has ended"
             raise ApricotliftError(Code.TABLE_UNAVAILABLE, message)
-        self._note_success()
-        self._note_certain(asked_at)
+        self._note_success(answer)
+        self._note_certain(answer.asked_at)
         self._take_whole_table(rows)
         self.is_loaded = True
         self._must_load = False
 
     async def _poll(self) -> None:
-        asked_at = self._clock()
         era = self.era
-        rows = None
+        answer = None
         with anyio.CancelScope() as self._poll_scope:
-            rows = await self._source.wait_for_changes(
-                self.table, self.version, self._poll_s, era
-            )
-        if rows is None or rows.era < self.era:
+            answer = await self._call(self._ask_for_changes, self._get_interval_s)
+        if answer is None or answer.result.era < self.era:
             # A new era was seen meanwhile.
             return
+        rows = answer.result
         if rows.era != era and not rows.is_full_table:
             self._must_load = True
             return
-        self._note_success(rows.age_s)
+        self._note_success(answer)
         if rows.wait_s is None:
             self._note_certain(self._clock() - rows.age_s)
         elif rows.rows or rows.is_full_table:
-            self._note_certain(asked_at)
+            self._note_certain(answer.asked_at)
         else:
-            self._note_certain(min(self._clock(), asked_at + rows.wait_s))
+            self._note_certain(min(self._clock(), answer.asked_at + rows.wait_s))
         if rows.era != self.era:
             self._take_whole_table(rows)
             return
@@ -270,11 +292,46 @@
         if rows.rows or rows.is_full_table:
             self._pass_on(rows, rows.is_full_table)
 
+    async def _ask_for_changes(self, number: int) -> RowSet:
+        # Further calls find out whether the store answers at all, so they don't wait.
+        wait_s = 0.0 if number or self.is_failing else self._poll_s
+        return await self._source.wait_for_changes(
+            self.table, self.version, wait_s, self.era
+        )
+
+    def _get_interval_s(self, number: int) -> float:
+        """Return the time from the start of a call to the next if it isn't answered."""
+        is_probe = number > 0 or self.is_failing
+        return _PROBE_INTERVAL_S if is_probe else self._poll_s + _OVERDUE_S
+
+    async def _call(
+        self,
+        ask: Callable[[int], Awaitable[RowSet]],
+        get_interval_s: Callable[[int], float],
+    ) -> Answer[RowSet]:
+        """Call the store until it answers.
+
+        :raises ApricotliftError: ``history_lost``.
+        """
+        return await call_until_answered(
+            ask,
+            get_interval_s,
+            self._get_pause_s,
+            lambda error: error.code is not Code.HISTORY_LOST,
+            self._note_error,
+            self._clock,
+        )
+
+    def _get_pause_s(self, n_failures: int) -> float:
+        """Return the pause after a call that failed."""
+        pause_s = _RETRY_PAUSE_MIN_S * 2 ** min(n_failures - 1, 10)
+        return min(_RETRY_PAUSE_MAX_S, pause_s) * random.uniform(0.7, 1.3)
+
     def _take_whole_table(self, rows: RowSet) -> None:
         """Take a whole table as the new position."""
         if self.is_loaded and rows.era != self.era:
             if rows.era > self._newest_era:
-                self._recovered_at = self._clock()
+                self._note_restore()
             self._metrics.count("feed_restored_total", table=self.table)
             logs.log(
                 logs.INFO,
@@ -294,28 +351,56 @@
         if self.copy is not None:
             self.copy.apply(rows, is_full_table)
 
-    def _note_success(self, age_s: float = 0.0) -> None:
+    def _note_success(self, answer: Answer[RowSet]) -> None:
         now = self._clock()
-        self._confirmed_at = max(self._confirmed_at, now - age_s)
-        if self._failing_since is not None:
-            seconds = round(now - self._failing_since, 3)
-            self._failing_since = None
-            self._recovered_at = now
-            logs.log(logs.INFO, "store_regained", table=self.table, seconds=seconds)
+        self._confirmed_at = max(self._confirmed_at, now - answer.result.age_s)
+        overtaken_at = answer.overtaken_at
+        if overtaken_at is not None:
+            self._unanswered_at = max(self._unanswered_at, overtaken_at)
+            if self._failing_since is None:
+                self._note_loss(overtaken_at, reason="overdue")
+        if self._failing_since is None:
+            return
+        seconds = round(now - self._failing_since, 3)
+        self._failing_since = None
+        self._recovered_at = now
+        logs.log(
+            logs.INFO,
+            "store_regained",
+            table=self.table,
+            seconds=seconds,
+            unanswered_s=_round_s(now - self._unanswered_at),
+        )
+
+    def _note_restore(self) -> None:
+        """Record that the store has come back from a copy."""
+        self._recovered_at = self._clock()
+        if not self.is_failing:
+            # A restart breaks all connections, so it is noticed soon.
+            self._unanswered_at = self._recovered_at
 
     def _note_certain(self, until: float) -> None:
         self._unchanged_until = self._certain_until
         self._certain_until = max(self._certain_until, until)
 
-    def _note_error(self, error: ApricotliftError) -> None:
+    def _note_error(self, error: ApricotliftError, asked_at: float) -> None:
         self._metrics.count("feed_failures_total", table=self.table, reason=error.code)
+        # A node that asks neither a reader nor the store learns nothing of the store.
+        if error.scope is not Scope.NODE:
+            self._unanswered_at = max(self._unanswered_at, asked_at)
         if self._failing_since is None:
-            self._failing_since = self._clock()
-            logs.log(
-                logs.WARNING,
-                "store_lost",
-                table=self.table,
-                code=error.code,
-                reason=error.message,
-                age_s=round(self.age_s, 3) if self.is_loaded else None,
-            )
+            self._note_loss(self._clock(), reason=error.message, code=error.code)
+
+    def _note_loss(self, since: float, **fields) -> None:
+        self._failing_since = since
+        logs.log(
+            logs.WARNING,
+            "store_lost",
+            table=self.table,
+            age_s=round(self.age_s, 3) if self.is_loaded else None,
+            **fields,
+        )
+
+
+def _round_s(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/relays.py
@@ -54,6 +54,8 @@
 
 #: Time for which a reader that didn't answer is not asked again.
 _READER_BACKOFF_S = 3.0
+#: The same for one that refused at once; it may have lost the store for a moment.
+_REFUSAL_BACKOFF_S = 0.6
 #: Pause between two reads of a follower from a store that doesn't answer it; its reader
 #: tries more often.
 _DIRECT_RETRY_S = 1.5
@@ -256,8 +258,10 @@
             except ApricotliftError as error:
                 reason = str(error.code)
                 self.metrics.count("relay_failures_total", table=table, reason=reason)
-            self._avoided_until[name] = self.clock() + _READER_BACKOFF_S
-            if self.clock() - asked_at > _REPLY_MARGIN_S:
+            has_refused = self.clock() - asked_at <= _REPLY_MARGIN_S
+            backoff_s = _REFUSAL_BACKOFF_S if has_refused else _READER_BACKOFF_S
+            self._avoided_until[name] = self.clock() + backoff_s
+            if not has_refused:
                 # Too much of the time limit has passed to try another reader.
                 break
         return None, reason
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/routingstate.py
@@ -32,6 +32,9 @@
 #: Time for which lapsed entries are kept once the store is available again. Servers
 #: whose entries lapsed during an outage write them again within two seconds of its end.
 LAPSED_ENTRY_GRACE_S = 2.3
+#: No entry is kept for longer after the last call that the store didn't answer. The
+#: store may have come back right after that call, and the node notices it later.
+_LAPSED_ENTRY_LIMIT_S = 2.9
 
 
 @dataclass
@@ -379,11 +382,14 @@
     def _schedule_removal(self, server_id: str) -> None:
         if server_id not in self.servers or server_id in self._removal_due_at:
             return
-        grace_left_s = LAPSED_ENTRY_GRACE_S - self.servers_feed.since_recovery_s
-        if grace_left_s <= 0:
+        due_at = min(
+            self.servers_feed.recovered_at + LAPSED_ENTRY_GRACE_S,
+            self.servers_feed.unanswered_at + _LAPSED_ENTRY_LIMIT_S,
+        )
+        if due_at <= self.clock():
             self._remove_server(server_id, "entry_gone")
             return
-        self._removal_due_at[server_id] = self.clock() + grace_left_s
+        self._removal_due_at[server_id] = due_at
 
     def _remove_lapsed(self) -> None:
         if not self._removal_due_at:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/routingstate.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/routingstate.feature
@@ -49,6 +49,31 @@
     When the entry of "a" is written again and 3 seconds pass
     Then the servers are "a"
 
+  # Guards against requests to a server that left after the store came back, because the
+  # node noticed that late, and counted the time for lapsed entries from then.
+  Scenario Outline: A lapsed entry is kept only while its server may write it again
+    Given a routing state with the servers "a, b"
+    When calls of the servers' table fail for <outage> seconds, the last one <last> seconds before an answer
+    And the entry of "a" is missing <after> seconds after the answer
+    Then "a" is used for <kept> seconds from then on
+
+    Examples:
+      | outage | last | after | kept |
+      | 5      | 0.1  | 0     | 2.3  |
+      | 5      | 0.6  | 0     | 2.3  |
+      | 5      | 0.6  | 1     | 1.3  |
+      | 5      | 0.6  | 2.5   | 0    |
+      | 5      | 2.0  | 0     | 0.9  |
+      | 5      | 3.2  | 0     | 0    |
+      | 40     | 3.2  | 0     | 0    |
+
+  # Guards against the same after one call that was lost, and not noticed as a failure.
+  Scenario: An entry that is missing after an overtaken poll is kept no longer
+    Given a routing state with the servers "a, b"
+    When a poll of the servers' table is overtaken by a call 2.5 seconds later
+    And the entry of "a" is missing 0 seconds after the answer
+    Then "a" is used for 0.4 seconds from then on
+
   # Guards against a crash of the node because entries lapse, and are removed, while it
   # iterates over the servers.
   Scenario: Entries lapse while outdated engines are listed
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/evacuations_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/evacuations_steps.py
@@ -7,6 +7,7 @@
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.entities import Configuration, Route, Service
 from apricotlift.forwarding.feeds import RowSet
+from apricotlift.forwarding.overlappedcalls import Answer
 from apricotlift.forwarding.servers import ServerHandles
 from apricotlift.forwarding.serverselection import choose_service, choose_target
 from apricotlift.forwarding.settings import RegionsModel
@@ -80,9 +81,10 @@
 @when("the whole table is read without the row after an outage")
 def step_read_after_outage(context):
     feed = context.state.operator_feed
-    feed._note_error(ApricotliftError(Code.TABLE_UNAVAILABLE, "refused"))
+    error = ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
+    feed._note_error(error, context.clock())
     context.clock.now += 5
-    feed._note_success()
+    feed._note_success(Answer(RowSet((), 1), context.clock()))
     apply_operator(context, [], is_full=True)
 
 
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/routingstate_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/routingstate_steps.py
@@ -8,6 +8,7 @@
 from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.feeds import Feed, RowSet, StoredRow
+from apricotlift.forwarding.overlappedcalls import Answer
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.forwarding.tests.forwarding_fakes import (
     Clock,
@@ -85,13 +86,50 @@
 
 @when("all entries have lapsed during an outage of the store")
 def step_entries_lapsed(context):
-    feed = context.routing_state.servers_feed
-    feed._note_error(ApricotliftError(Code.TABLE_UNAVAILABLE, "refused"))
-    context.clock.now += 5
-    feed._note_success()
+    step_calls_fail(context, 5.0, 0.5)
     context.routing_state._apply_servers(build_rows(), True)
 
 
+@when(
+    "calls of the servers' table fail for {seconds:g} seconds, the last one "
+    "{last_call_s:g} seconds before an answer"
+)
+def step_calls_fail(context, seconds, last_call_s):
+    feed = context.routing_state.servers_feed
+    error = ApricotliftError(Code.TABLE_UNAVAILABLE, "refused")
+    feed._note_error(error, context.clock())
+    context.clock.now += seconds - last_call_s
+    feed._note_error(error, context.clock())
+    context.clock.now += last_call_s
+    feed._note_success(Answer(build_rows(), context.clock()))
+
+
+@when("a poll of the servers' table is overtaken by a call {seconds:g} seconds later")
+def step_overtaken(context, seconds):
+    feed = context.routing_state.servers_feed
+    asked_at = context.clock()
+    context.clock.now += seconds
+    feed._note_success(Answer(build_rows(), context.clock(), asked_at))
+
+
+@when('the entry of "{name}" is missing {seconds:g} seconds after the answer')
+def step_missing_after(context, name, seconds):
+    context.clock.now += seconds
+    context.missing_at = context.clock()
+    context.routing_state._apply_servers(build_rows((name, None)), False)
+
+
+@then('"{name}" is used for {seconds:g} seconds from then on')
+def step_used_for(context, name, seconds):
+    state = context.routing_state
+    step_s = 0.05
+    while name in [server.server_id for server in state.list_servers("svc")]:
+        context.clock.now += step_s
+        assert context.clock.now < context.missing_at + 10
+    found = context.clock() - context.missing_at
+    assert abs(found - seconds) <= step_s + 1e-6, found
+
+
 @when('the entry of "{name}" is written again and {seconds:d} seconds pass')
 def step_entry_written(context, name, seconds):
     context.routing_state._apply_servers(build_rows((name, {"service": "svc"})), False)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -40,7 +40,9 @@
     :param version: version of the last change.
     :param kept_from: first version whose history is kept; older ones give status 410.
     :param mode: simulated fault: ``none``; ``refuse`` answers 503 to every call;
-        ``silent`` doesn't answer; ``lose`` applies transactions without answering.
+        ``silent`` doesn't answer; ``lose`` applies transactions without answering;
+        ``lost`` never answers the calls that wait or arrive while it lasts.
+    :param n_lost: number of times that calls were lost.
     :param n_calls: calls by path, without those that control the stand-in.
     :param era: number of the store's state; it rises when a copy is restored.
     :param copy: the copy that :meth:`restore` goes back to.
@@ -58,6 +60,7 @@
     era: int = _FIRST_ERA
     copy: RowStoreCopy | None = None
     odd_fields: dict[tuple[str, str, str], dict] = field(default_factory=dict)
+    n_lost: int = 0
 
     def save_copy(self) -> None:
         """Keep a copy of the current state."""
@@ -177,6 +180,7 @@
         data = request.read_json()
         if request.path == "/_fault":
             state.mode = data.get("mode", state.mode)
+            state.n_lost += state.mode == "lost"
             if data.get("forget"):
                 state.history.clear()
                 state.kept_from = state.version + 1
@@ -202,7 +206,10 @@
     async def handle(request: Request, streaming) -> Reply | None:
         if request.path.startswith("/_"):
             return await handle_control(request)
+        n_lost = state.n_lost
         reply = await handle_call(request)
+        if state.mode == "lost" or state.n_lost != n_lost:
+            await anyio.sleep_forever()
         return replace(reply, headers={**reply.headers, "Store-Era": str(state.era)})
 
     async def handle_call(request: Request) -> Reply:
