Bound the work for prompts of many parts (Fault)

A node answered nobody, neither requests nor questions about its readiness, for longer than 14 s after one client had sent 12 prompts of 2,100 parts, inside the limits.

Cause: work in the event loop that grew with the square of a prompt's parts and with what earlier prompts had left pending. For each part and store the room was counted anew over all reservations, and above 500 entries the expected parts were copied for each part. Engines were compared part by part and holder by holder.

With 100 engines that hold the parts, comparing them takes 6,303 ms.

Change: reservations and expected parts are kept in order of expiry with a running sum; engines are compared by runs of parts that are held alike; a prompt's parts, lookups and estimates are bounded. Related paths: tokens of a prompt are summed once, crash checks rank the parts of a crash once, events of a poll leave room for other tasks, notes to other nodes name 256 parts.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/cacheindex.py
@@ -6,10 +6,12 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 from apricotlift.core import clocks, logs
 from apricotlift.core.errors import ApricotliftError
 from apricotlift.core.hashing import rank_nodes
@@ -36,7 +38,7 @@
 _EXPECTED_EXPIRY_S = 2.5
 _EXPECTED_MARGIN_S = 1.5
 
-_MAX_EXPECTED = 500
+_N_EXPECTED_MAX = 20_000
 
 #: Concurrent event polls of a holder that are left free for nodes that join or restart.
 _N_SPARE_READERS = 3
@@ -44,6 +46,12 @@
 #: Time for which a requested save reserves space in the store, unless it is reported.
 _PENDING_SAVE_EXPIRY_S = 3.0
 
+#: Other tasks run after so many events of one poll.
+_N_EVENTS_AT_ONCE = 500
+
+#: A prompt part in the cache: its salt and its id.
+PartKey = tuple[str, str]
+
 
 @dataclass(frozen=True)
 class Holder:
@@ -74,8 +82,10 @@
     :param parts: tokens of each part that are held.
     :param learned_at: when each part was reported.
     :param pending: tokens of each part that is to be saved, and when this reservation
-        expires.
-    :param expected: parts of which no event has come yet, and when this expires.
+        expires; the earliest first.
+    :param n_pending: tokens of all parts that are to be saved.
+    :param expected: parts of which no event has come yet, and when this expires; the
+        earliest first.
     """
 
     holder: Holder
@@ -83,23 +93,27 @@
     next_number: int = 0
     is_current: bool = False
     n_tokens: int = 0
-    parts: dict[tuple[str, str], int] = field(default_factory=dict)
-    learned_at: dict[tuple[str, str], float] = field(default_factory=dict)
-    pending: dict[tuple[str, str], tuple[int, float]] = field(default_factory=dict)
-    expected: dict[tuple[str, str], float] = field(default_factory=dict)
+    parts: dict[PartKey, int] = field(default_factory=dict)
+    learned_at: dict[PartKey, float] = field(default_factory=dict)
+    pending: OrderedDict[PartKey, tuple[int, float]] = field(
+        default_factory=OrderedDict
+    )
+    n_pending: int = 0
+    expected: OrderedDict[PartKey, float] = field(default_factory=OrderedDict)
 
     def clear(self) -> None:
         """Remove all parts, pending saves and expected parts."""
         self.parts.clear()
         self.learned_at.clear()
         self.pending.clear()
+        self.n_pending = 0
         self.expected.clear()
         self.n_tokens = 0
 
-    def set_tokens(self, key: tuple[str, str], n_tokens: int, now: float) -> None:
+    def set_tokens(self, key: PartKey, n_tokens: int, now: float) -> None:
         """Set how many tokens of a part are held; 0 removes it."""
         self.n_tokens += n_tokens - self.parts.pop(key, 0)
-        self.pending.pop(key, None)
+        self._drop_pending(key)
         if n_tokens:
             self.parts[key] = n_tokens
             self.learned_at.setdefault(key, now)
@@ -108,11 +122,35 @@
 
     def count_free_tokens(self, now: float) -> int:
         """Return the free capacity in tokens, less that of pending saves."""
-        for key, (_, until) in list(self.pending.items()):
-            if until < now:
-                del self.pending[key]
-        n_pending = sum(n_tokens for n_tokens, _ in self.pending.values())
-        return self.holder.capacity_tokens - self.n_tokens - n_pending
+        while self.pending:
+            key, (_, until) = next(iter(self.pending.items()))
+            if until >= now:
+                break
+            self._drop_pending(key)
+        return self.holder.capacity_tokens - self.n_tokens - self.n_pending
+
+    def reserve(self, key: PartKey, n_tokens: int, until: float) -> None:
+        """Reserve space for a part that is to be saved.
+
+        :param until: when the reservation expires, no earlier than those before it.
+        """
+        self._drop_pending(key)
+        self.pending[key] = (n_tokens, until)
+        self.n_pending += n_tokens
+
+    def expect(self, key: PartKey, now: float, until: float) -> None:
+        """Expect a part until an event reports it or this expires."""
+        self.expected.pop(key, None)
+        self.expected[key] = until
+        while len(self.expected) > _N_EXPECTED_MAX or self._get_first_expiry() <= now:
+            self.expected.popitem(last=False)
+
+    def _get_first_expiry(self) -> float:
+        return next(iter(self.expected.values()), math.inf)
+
+    def _drop_pending(self, key: PartKey) -> None:
+        n_tokens, _ = self.pending.pop(key, (0, 0.0))
+        self.n_pending -= n_tokens
 
 
 class CacheIndex:
@@ -147,22 +185,41 @@
         self._n_polls_per_s = n_polls_per_s
         self._scopes: dict[str, anyio.CancelScope] = {}
 
-    def find_holders(self, salt: str, part_id: str) -> list[tuple[HeldParts, int]]:
-        """Return the holders of a part, each with the tokens of it that are held."""
+    def is_held(self, salt: str, part_id: str) -> bool:
+        """Return whether any holder whose events can be read holds a part."""
         key = (salt, part_id)
-        return [
-            (held, held.parts[key])
-            for held in self.held.values()
-            if held.is_current and key in held.parts
-        ]
+        return any(held.is_current and key in held.parts for held in self.held.values())
 
-    def has_part(self, address: str, salt: str, part_id: str) -> bool:
-        """Return whether an engine holds a part or is expected to hold it soon."""
-        held = self.held.get(address)
-        if held is None:
-            return False
-        key = (salt, part_id)
-        return key in held.parts or held.expected.get(key, 0.0) > self._clock()
+    def find_uses(
+        self, key: PartKey, n_tokens: int, learned_before: float | None = None
+    ) -> tuple[list[str], list[Holder]]:
+        """Return who needn't compute a part, and where it can be fetched.
+
+        The time grows with the number of holders.
+
+        :param n_tokens: tokens of the whole part.
+        :param learned_before: time before which a source must have reported the part;
+            only stores are sources then. ``None`` for all complete parts.
+        :returns: the addresses that hold the part or are expected to hold it soon, and
+            the holders that have all of it.
+        """
+        now = self._clock()
+        keepers = []
+        sources = []
+        for address, held in self.held.items():
+            n_held = held.parts.get(key)
+            if n_held is None:
+                if held.expected and held.expected.get(key, 0.0) > now:
+                    keepers.append(address)
+                continue
+            keepers.append(address)
+            if n_held < n_tokens or not held.is_current:
+                continue
+            if learned_before is None or (
+                held.holder.is_store and held.learned_at[key] < learned_before
+            ):
+                sources.append(held.holder)
+        return keepers, sources
 
     def mark_expected(self, address: str, salt: str, part_id: str) -> None:
         """Record that an engine has been sent a prompt with a part."""
@@ -170,11 +227,8 @@
         if held is None:
             return
         now = self._clock()
-        if len(held.expected) > _MAX_EXPECTED:
-            kept = {key: until for key, until in held.expected.items() if until > now}
-            held.expected = kept
         expiry_s = max(_EXPECTED_EXPIRY_S, self.poll_interval_s + _EXPECTED_MARGIN_S)
-        held.expected[(salt, part_id)] = now + expiry_s
+        held.expect((salt, part_id), now, now + expiry_s)
 
     @property
     def poll_interval_s(self) -> float:
@@ -191,10 +245,8 @@
 
     def reserve(self, held: HeldParts, salt: str, part_id: str, n_tokens: int) -> None:
         """Reserve space in a store for a part whose save is requested."""
-        held.pending[(salt, part_id)] = (
-            n_tokens,
-            self._clock() + _PENDING_SAVE_EXPIRY_S,
-        )
+        until = self._clock() + _PENDING_SAVE_EXPIRY_S
+        held.reserve((salt, part_id), n_tokens, until)
 
     async def run(self) -> None:
         """Follow the events of the configured holders until cancelled."""
@@ -242,7 +294,7 @@
                     retry_pause_s = min(_MAX_PAUSE_S, retry_pause_s * 2)
                     continue
                 retry_pause_s = _PAUSE_S
-                self._apply(held, batch)
+                await self._apply(held, batch)
                 pause_s = self.poll_interval_s - (self._clock() - polled_at)
                 if batch.events:
                     pause_s = max(pause_s, _BATCH_PAUSE_S)
@@ -261,7 +313,7 @@
             raise ValueError(f"expected status 200, got {response.status}")
         return self._dialect.decode_events(response.body)
 
-    def _apply(self, held: HeldParts, batch: CacheEvents) -> None:
+    async def _apply(self, held: HeldParts, batch: CacheEvents) -> None:
         is_new_boot = batch.boot != held.boot
         if is_new_boot or (batch.has_gap and held.holder.is_store):
             held.clear()
@@ -273,8 +325,10 @@
         held.boot = batch.boot
         held.next_number = batch.next_number
         now = self._clock()
-        for event in batch.events:
+        for number, event in enumerate(batch.events, start=1):
             held.set_tokens((event.salt, event.part_id), event.n_tokens, now)
+            if number % _N_EVENTS_AT_ONCE == 0:
+                await anyio.lowlevel.checkpoint()
         if batch.has_gap:
             self._metrics.count("cache_event_gaps_total")
         if not held.is_current:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/crashevidence.py
@@ -44,6 +44,9 @@
 _DECISION_HOLD_S = 0.2
 
 Incarnation = tuple[str, int, str]
+#: How likely a part is the cause of a crash: whether it wasn't answered before, its
+#: crashes, and its position in the prompt.
+_Rank = tuple[bool, int, int]
 
 
 @dataclass
@@ -76,6 +79,9 @@
     )
     _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _decisions: dict[str, tuple[float, bool]] = field(default_factory=dict)
+    _top_ranks: dict[Incarnation, tuple[float, _Rank | None]] = field(
+        default_factory=dict
+    )
 
     def add_crash(
         self,
@@ -94,7 +100,7 @@
         :param is_old: whether it was reported before this node started, so that the
             time of the crash isn't known.
         """
-        self._decisions.clear()
+        self._forget_decisions()
         now = self.clock()
         crash = self._crashes.setdefault(incarnation, _Crash(now, is_old))
         # A report may be written again later; its answers were given before the crash.
@@ -128,7 +134,7 @@
         """
         known = self._crashes_by_part.pop(part, {})
         if known:
-            self._decisions.clear()
+            self._forget_decisions()
         for incarnation in known:
             crash = self._crashes[incarnation]
             crash.counted.pop(part, None)
@@ -142,7 +148,7 @@
 
     def forget_crash(self, incarnation: Incarnation) -> None:
         """Remove a crash whose report was deleted."""
-        self._decisions.clear()
+        self._forget_decisions()
         crash = self._crashes.pop(incarnation, None)
         for part in crash.counted if crash else ():
             known = self._crashes_by_part[part]
@@ -178,15 +184,34 @@
         n_crashes = len(self._list_crashes(part))
         return n_crashes >= N_PART_CRASHES_LIMIT and not self._is_unsettled(part)
 
+    def _forget_decisions(self) -> None:
+        self._decisions.clear()
+        self._top_ranks.clear()
+
     def _is_accounted_for(self, part: str, incarnation: Incarnation) -> bool:
-        counted = self._crashes[incarnation].counted
-        own_rank = self._rank(part, counted[part])
-        return any(
-            self._is_at_limit(other) and self._rank(other, position) > own_rank
-            for other, position in counted.items()
-        )
+        top_rank = self._get_top_rank(incarnation)
+        position = self._crashes[incarnation].counted[part]
+        return top_rank is not None and top_rank > self._rank(part, position)
+
+    def _get_top_rank(self, incarnation: Incarnation) -> _Rank | None:
+        """Return the highest rank of a crash's parts that have reached the limit.
 
-    def _rank(self, part: str, position: int) -> tuple[bool, int, int]:
+        It is computed once for all parts of the crash, as a decision is for one.
+        """
+        now = self.clock()
+        ranked_at, rank = self._top_ranks.get(incarnation, (float("-inf"), None))
+        if now >= ranked_at + _DECISION_HOLD_S:
+            counted = self._crashes[incarnation].counted
+            ranks = (
+                self._rank(part, position)
+                for part, position in counted.items()
+                if self._is_at_limit(part)
+            )
+            rank = max(ranks, default=None)
+            self._top_ranks[incarnation] = (now, rank)
+        return rank
+
+    def _rank(self, part: str, position: int) -> _Rank:
         """Return how likely a part is the cause of a crash, compared with others."""
         crashes = self._list_crashes(part)
         was_answered = self._was_answered_before(part, crashes)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/engineloads.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/engineloads.py
@@ -16,6 +16,7 @@
 
 from apricotlift.core import clocks
 from apricotlift.forwarding.entities import Server
+from apricotlift.forwarding.partruns import N_PARTS_MAX
 from apricotlift.state.view import MembershipView
 from apricotlift.wire.handshake import Identity
 from apricotlift.wire.messages import Notes, PlacementNote, ProgressNote
@@ -136,19 +137,23 @@
     ) -> PlacementNote:
         """Count a prompt of this node and notify the other nodes.
 
+        Parts after the first :data:`~.partruns.N_PARTS_MAX` count as the request's own.
+
         :param parts: ids and tokens of the shared parts.
         :param n_unread: prompt tokens that the engine has to compute.
         :param n_own: tokens of its memory that belong to this request alone.
         """
+        noted = parts[:N_PARTS_MAX]
+        n_not_noted = sum(n_tokens for _, n_tokens in parts[N_PARTS_MAX:])
         note = PlacementNote(
             next(self._attempt_numbers),
             server.server_id,
             server.address,
             n_unread,
-            n_own,
+            n_own + n_not_noted,
             salt,
-            [part for part, _ in parts],
-            [n_tokens for _, n_tokens in parts],
+            [part for part, _ in noted],
+            [n_tokens for _, n_tokens in noted],
         )
         self._add(self.view.own.node_id, note)
         if self.large_fleet is not None:
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/entities.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 
 
 class ServerState(StrEnum):
@@ -231,7 +232,7 @@
     n_output_tokens: int = 0
     n_hinted_tokens: int | None = None
 
-    @property
+    @cached_property
     def n_tokens(self) -> int:
         """Number of tokens of the prompt."""
         return max(self.n_prompt_tokens, sum(part.n_tokens for part in self.parts))
@@ -243,16 +244,20 @@
             return self.n_output_tokens
         return min(self.n_hinted_tokens, self.n_output_tokens)
 
-    @property
+    @cached_property
     def shared_parts(self) -> list[tuple[str, int]]:
         """Ids and tokens of the parts that other requests may share."""
         return [(part.part_id, part.n_tokens) for part in self.parts[:-1]]
 
+    @cached_property
+    def n_shared(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return sum(n_tokens for _, n_tokens in self.shared_parts)
+
     @property
     def n_own(self) -> int:
         """Tokens of the prompt and its answer that belong to the request alone."""
-        n_shared = sum(n_tokens for _, n_tokens in self.shared_parts)
-        return self.n_tokens - n_shared + self.n_output_tokens
+        return self.n_tokens - self.n_shared + self.n_output_tokens
 
 
 @dataclass(frozen=True)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/placement.py
@@ -13,10 +13,18 @@
 from functools import lru_cache
 
 from apricotlift.core.hashing import digest, rank_nodes
-from apricotlift.forwarding.cacheindex import CacheIndex, HeldParts
+from apricotlift.forwarding.cacheindex import CacheIndex, HeldParts, Holder
 from apricotlift.forwarding.engineloads import EngineLoad
 from apricotlift.forwarding.enginepools import PromptKind, classify_prompt
-from apricotlift.forwarding.entities import Account, Engine, Prompt, PromptPart
+from apricotlift.forwarding.entities import Account, Engine, Prompt, Server
+from apricotlift.forwarding.partruns import (
+    N_PARTS_MAX,
+    PartRun,
+    build_runs,
+    compute_n_parts_max,
+    compute_n_runs_max,
+    remember_sources,
+)
 from apricotlift.forwarding.servers import ServerHandle
 
 #: Assumed prefill throughput of an engine, for lack of a better estimate.
@@ -46,6 +54,8 @@
 _UNCACHED_RANK_COST_S = 0.25
 _MAX_RANK = 3
 
+#: Tokens that stay free in a store beside each part that is saved.
+_STORE_SPARE_TOKENS = 16
 _NO_ADDRESS = "-"
 
 
@@ -99,18 +109,6 @@
     pool_penalty: float = 0.0
 
 
-def _compute_memory_share(
-    engine: Engine, choice: EngineChoice, prompt: Prompt, salt: str
-) -> float:
-    """Return the share of an engine's memory in use once the prompt runs as well.
-
-    Above 1, a request waits until others have ended.
-    """
-    load = choice.load
-    n_added = load.count_added_tokens(salt, prompt.shared_parts, prompt.n_own)
-    return (load.n_used_tokens + n_added) / max(1, engine.kv_capacity_tokens)
-
-
 def compute_cache_salt(
     model: str,
     weight_version: int | None,
@@ -163,22 +161,22 @@
     """
     key, rank_cost_s = _choose_rank_key(prompt, account, choices, index, regions)
     ranks = _rank_engines(key, choices)
-    find_holders = _remember_holders(index)
+    estimate = _build_estimator(
+        prompt, account, engine, index, now, regions, len(choices)
+    )
     pool_cost_s = _get_pool_cost_s(prompt)
     best = None
     for choice in choices:
-        placement = _estimate_placement(
-            prompt, account, engine, choice, index, find_holders, now, regions
-        )
+        estimated = estimate(choice)
         rank = ranks.get(choice.handle.server.server_id, _MAX_RANK)
-        cost_s = placement.cost_s + rank_cost_s * rank
+        cost_s = estimated.cost_s + rank_cost_s * rank
         cost_s += pool_cost_s * choice.pool_penalty
         cost_s *= rng.uniform(0.98, 1.02)
         if best is None or cost_s < best[0]:
-            best = (cost_s, placement)
+            best = (cost_s, estimated)
     if best is None:
         return None
-    return best[1]
+    return _build_placement(prompt, best[1])
 
 
 def mark_expected_parts(
@@ -186,7 +184,7 @@
 ) -> None:
     """Record that the chosen engine is expected to hold the prompt's shared parts."""
     address = placement.handle.server.address
-    for part in prompt.parts[:-1]:
+    for part in prompt.parts[:-1][:N_PARTS_MAX]:
         index.mark_expected(address, placement.salt, part.part_id)
 
 
@@ -199,6 +197,8 @@
 ) -> tuple[str | None, ...]:
     """Choose and reserve a store for each shared part that no store holds yet.
 
+    Parts after the first :data:`~.partruns.N_PARTS_MAX` are not saved.
+
     :param is_usable_domain: returns whether parts may be saved in a failure domain.
     :returns: store address for each part, ``None`` where it isn't saved.
     """
@@ -206,25 +206,52 @@
         # The engine may change its weights during the prefill. It would then save KV
         # cache of the newer version under the salt of the older one.
         return ()
-    saves: list[str | None] = []
     domain = placement.handle.server.failure_domain
     stores = index.list_stores()
-    usable = [held for held in stores if is_usable_domain(held.holder.failure_domain)]
-    for part in prompt.parts[:-1]:
+    # Counting ends expired reservations, also of stores that can't be used.
+    rooms = [
+        _StoreRoom(
+            held,
+            held.holder.failure_domain == domain,
+            held.count_free_tokens(now),
+        )
+        for held in stores
+    ]
+    rooms = [room for room in rooms if is_usable_domain(room.failure_domain)]
+    saves: list[str | None] = [None] * len(prompt.parts)
+    for place, part in enumerate(prompt.parts[:-1][:N_PARTS_MAX]):
         key = (placement.salt, part.part_id)
         if any(key in held.parts or key in held.pending for held in stores):
-            saves.append(None)
             continue
-        chosen = _choose_store(usable, part, domain, now)
-        if chosen is None:
-            saves.append(None)
+        n_needed = part.n_tokens + _STORE_SPARE_TOKENS
+        with_room = [room for room in rooms if room.n_free >= n_needed]
+        if not with_room:
             continue
-        index.reserve(chosen, placement.salt, part.part_id, part.n_tokens)
-        saves.append(chosen.holder.address)
-    saves.append(None)
+        chosen = max(with_room, key=lambda room: (room.is_near, room.n_free))
+        index.reserve(chosen.held, placement.salt, part.part_id, part.n_tokens)
+        chosen.n_free -= part.n_tokens
+        saves[place] = chosen.held.holder.address
     return tuple(saves)
 
 
+@dataclass
+class _StoreRoom:
+    """Room in a store while a prompt's parts are assigned.
+
+    :param is_near: whether it is in the failure domain of the engine.
+    :param n_free: free tokens, less those assigned so far.
+    """
+
+    held: HeldParts
+    is_near: bool
+    n_free: int
+
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the store."""
+        return self.held.holder.failure_domain
+
+
 def format_addresses(
     addresses: Sequence[str | None], has_per_part_addresses: bool
 ) -> str | None:
@@ -257,10 +284,10 @@
         for choice in choices
         if not choice.is_outdated
     }
-    for part in prompt.parts[:-1]:
-        if not any(index.find_holders(salt, part.part_id) for salt in salts):
+    shared = prompt.parts[:-1][: compute_n_parts_max(len(index.held))]
+    for part in shared:
+        if not any(index.is_held(salt, part.part_id) for salt in salts):
             return part.part_id, _UNCACHED_RANK_COST_S
-    shared = prompt.parts[:-1]
     return (shared[-1].part_id if shared else ""), _RANK_COST_S
 
 
@@ -288,143 +315,133 @@
     return _DECODE_IN_PREFILL_POOL_COST_S
 
 
-_HoldersLookup = Callable[[str, str], list[tuple[HeldParts, int]]]
-
-
-def _remember_holders(index: CacheIndex) -> _HoldersLookup:
-    """Return a lookup of the holders of a part that searches for each part once."""
-    known: dict[tuple[str, str], list[tuple[HeldParts, int]]] = {}
-
-    def find_holders(salt: str, part_id: str) -> list[tuple[HeldParts, int]]:
-        key = (salt, part_id)
-        if key not in known:
-            known[key] = index.find_holders(salt, part_id)
-        return known[key]
-
-    return find_holders
-
+@dataclass(frozen=True)
+class _Estimate:
+    """The expected cost of a prompt at one engine.
 
-def _choose_store(
-    stores: Sequence[HeldParts], part: PromptPart, domain: str, now: float
-) -> HeldParts | None:
-    def rank(held: HeldParts) -> tuple[bool, int]:
-        return (held.holder.failure_domain == domain, held.count_free_tokens(now))
+    :param runs: runs of parts that somebody holds.
+    :param sources: address from which each run is fetched, ``None`` where it isn't;
+        shorter than ``runs`` where the engine has to compute the rest.
+    """
 
-    with_room = [
-        held for held in stores if held.count_free_tokens(now) >= part.n_tokens + 16
-    ]
-    return max(with_room, key=rank, default=None)
+    choice: EngineChoice
+    salt: str
+    runs: list[PartRun]
+    sources: list[str | None]
+    n_reused: int
+    n_fetched: int
+    n_read: int
+    cost_s: float
 
 
-def _estimate_placement(
-    prompt: Prompt,
-    account: Account | None,
-    engine: Engine,
-    choice: EngineChoice,
-    index: CacheIndex,
-    find_holders: _HoldersLookup,
-    now: float,
-    regions: Set[str] | None,
-) -> Placement:
-    handle = choice.handle
-    server = handle.server
-    salt = compute_cache_salt(prompt.model, choice.weight_version, account, regions)
-    n_reused = n_fetched = 0
-    fetch_s = transfer_cost_s = 0.0
+def _build_placement(prompt: Prompt, estimate: _Estimate) -> Placement:
     fetch: list[str | None] = []
-    has_prefix = True
-    for part in prompt.parts[:-1]:
-        found = None
-        if has_prefix:
-            holders = find_holders(salt, part.part_id)
-            found = _find_part_source(holders, salt, part, choice)
-        if has_prefix and index.has_part(server.address, salt, part.part_id):
-            n_reused += part.n_tokens
-            # The engine may have evicted the part since. It fetches only what it lacks.
-            fetch.append(found.address if found and found.is_store else None)
-        elif found:
-            n_fetched += part.n_tokens
-            transfer_s = part.n_tokens * engine.token_bytes * 8e-6 / engine.link_mbps
-            fetch_s += transfer_s * found.factor + _FETCH_SETUP_S
-            transfer_cost_s += (
-                part.n_tokens * _TRANSFER_COST_S_PER_KTOKEN / 1000 * found.factor
-            )
-            fetch.append(found.address)
-        else:
-            # An engine can use the KV cache of a part only with all parts before it.
-            has_prefix = False
-            fetch.append(None)
-    fetch.append(None)
-    n_read = max(1, prompt.n_tokens - n_reused - n_fetched)
-    n_shared_recomputed = (
-        sum(p.n_tokens for p in prompt.parts[:-1]) - n_reused - n_fetched
-    )
-    cost_s = fetch_s + transfer_cost_s + n_read / PREFILL_TOKENS_PER_S
-    cost_s += n_shared_recomputed * _RECOMPUTE_COST_S_PER_KTOKEN / 1000
-    cost_s += choice.load.n_unread / PREFILL_TOKENS_PER_S
-    cost_s += handle.n_in_flight * _IN_FLIGHT_COST_S
-    if engine.kv_capacity_tokens:
-        memory_share = _compute_memory_share(engine, choice, prompt, salt)
-        cost_s += max(0.0, memory_share - 0.5)
-    cost_s += handle.get_failure_share(now) * _FAILURE_COST_S
-    cost_s += (
-        _AVOIDED_ENGINE_COST_S * choice.is_avoided
-        + _AVOIDED_ENGINE_COST_S * choice.is_outdated
-    )
+    for run, address in zip(estimate.runs, estimate.sources, strict=False):
+        fetch += [address] * run.n_parts
+    fetch += [None] * (max(1, len(prompt.parts)) - len(fetch))
+    choice = estimate.choice
     return Placement(
-        handle,
+        choice.handle,
         choice.weight_version,
         choice.newer_target_at is not None,
-        salt,
+        estimate.salt,
         tuple(fetch),
         (),
-        n_reused,
-        n_fetched,
-        n_read,
-        cost_s,
+        estimate.n_reused,
+        estimate.n_fetched,
+        estimate.n_read,
+        estimate.cost_s,
     )
 
 
-@dataclass(frozen=True)
-class _PartSource:
-    """An engine or KV store from which a part can be fetched.
+def _build_estimator(
+    prompt: Prompt,
+    account: Account | None,
+    engine: Engine,
+    index: CacheIndex,
+    now: float,
+    regions: Set[str] | None,
+    n_choices: int,
+) -> Callable[[EngineChoice], _Estimate]:
+    """Return a function that estimates a prompt's cost at an engine.
 
-    :param factor: transfer time as a multiple of that within a failure domain.
+    What is the same for several engines is computed once.
     """
+    n_runs_max = compute_n_runs_max(n_choices)
+    find_source = remember_sources()
+    runs_by_salt: dict[tuple[str, float | None], list[PartRun]] = {}
+    compared = prompt.shared_parts[: compute_n_parts_max(n_choices)]
+    n_not_compared = prompt.n_shared - sum(n_tokens for _, n_tokens in compared)
+
+    def find_runs(salt: str, choice: EngineChoice) -> list[PartRun]:
+        # Once a newer weight version is named, an engine may change its weights during
+        # a prefill, and then keep or save KV cache that doesn't belong to the salt's
+        # version. Only parts that a store held before that time are used then.
+        key = (salt, choice.newer_target_at)
+        if key not in runs_by_salt:
+            runs_by_salt[key] = build_runs(
+                index, salt, prompt.parts[:-1], choice.newer_target_at, n_runs_max
+            )
+        return runs_by_salt[key]
+
+    def compute_memory_share(choice: EngineChoice, salt: str) -> float:
+        """Return the share of an engine's memory in use once the prompt runs as well.
+
+        Above 1, a request waits until others have ended.
+        """
+        load = choice.load
+        n_added = load.count_added_tokens(salt, compared, prompt.n_own + n_not_compared)
+        return (load.n_used_tokens + n_added) / max(1, engine.kv_capacity_tokens)
+
+    def estimate(choice: EngineChoice) -> _Estimate:
+        handle = choice.handle
+        server = handle.server
+        salt = compute_cache_salt(prompt.model, choice.weight_version, account, regions)
+        runs = find_runs(salt, choice)
+        n_reused = n_fetched = 0
+        cost_s = 0.0
+        sources: list[str | None] = []
+        for run in runs:
+            source = find_source(run, server.failure_domain, server.address)
+            if server.address in run.keepers:
+                n_reused += run.n_tokens
+                # The engine may have evicted parts since, and fetches only those.
+                is_stored = source is not None and source.is_store
+                sources.append(source.address if is_stored else None)
+            elif source is not None:
+                n_fetched += run.n_tokens
+                cost_s += _compute_fetch_cost_s(run, source, server, engine)
+                sources.append(source.address)
+            else:
+                # An engine can use the KV cache of a part only with all before it.
+                break
+        n_read = max(1, prompt.n_tokens - n_reused - n_fetched)
+        n_shared_recomputed = prompt.n_shared - n_reused - n_fetched
+        cost_s += n_read / PREFILL_TOKENS_PER_S
+        cost_s += n_shared_recomputed * _RECOMPUTE_COST_S_PER_KTOKEN / 1000
+        cost_s += choice.load.n_unread / PREFILL_TOKENS_PER_S
+        cost_s += handle.n_in_flight * _IN_FLIGHT_COST_S
+        if engine.kv_capacity_tokens:
+            cost_s += max(0.0, compute_memory_share(choice, salt) - 0.5)
+        cost_s += handle.get_failure_share(now) * _FAILURE_COST_S
+        cost_s += (
+            _AVOIDED_ENGINE_COST_S * choice.is_avoided
+            + _AVOIDED_ENGINE_COST_S * choice.is_outdated
+        )
+        return _Estimate(
+            choice, salt, runs, sources, n_reused, n_fetched, n_read, cost_s
+        )
 
-    address: str
-    factor: float
-    is_store: bool
-
+    return estimate
 
-def _find_part_source(
-    holders: Sequence[tuple[HeldParts, int]],
-    salt: str,
-    part: PromptPart,
-    choice: EngineChoice,
-) -> _PartSource | None:
-    """Return the nearest source of a complete part, ``None`` where there is none.
 
-    Once a newer weight version is named, an engine may change its weights during a
-    prefill, and then keep or save KV cache that doesn't belong to the salt's version.
-    Only parts that a store held before that time are used then.
-    """
-    server = choice.handle.server
-    best = None
-    for held, n_tokens in holders:
-        if n_tokens < part.n_tokens or held.holder.address == server.address:
-            continue
-        if choice.newer_target_at is not None and not (
-            held.holder.is_store
-            and held.learned_at[(salt, part.part_id)] < choice.newer_target_at
-        ):
-            continue
-        factor = 1.0
-        if held.holder.failure_domain != server.failure_domain:
-            factor = _CROSS_DOMAIN_FACTOR
-        # Stores are preferred: they never evict a part on their own, engines may.
-        rank = (factor, not held.holder.is_store)
-        if best is None or rank < best[0]:
-            source = _PartSource(held.holder.address, factor, held.holder.is_store)
-            best = (rank, source)
-    return best[1] if best else None
+def _compute_fetch_cost_s(
+    run: PartRun, source: Holder, server: Server, engine: Engine
+) -> float:
+    """Return the time to fetch a run of parts, with the charge for the transfer."""
+    factor = 1.0
+    if source.failure_domain != server.failure_domain:
+        factor = _CROSS_DOMAIN_FACTOR
+    transfer_s = run.n_tokens * engine.token_bytes * 8e-6 / engine.link_mbps
+    charge_s = run.n_tokens * _TRANSFER_COST_S_PER_KTOKEN / 1000
+    return (transfer_s + charge_s) * factor + _FETCH_SETUP_S * run.n_parts
