Read what the operator named while no node ran (VERSION)

Cause: version 7 was acknowledged at 13.912 s, and all machines had lost power at 13.9 s. No node could record it, and a late write put version 6 back before they started.

A node that starts reads these changes before it is ready. A record states up to which change its writer had read the operator's rows; where that is older than the history, positions are tried in steps. One to eight reads at a start; without an answer the records alone count after 3 s.

--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/process.py
@@ -166,6 +166,10 @@
             routing_state,
             lambda: list(membership.view.get_eligible()),
             metrics,
+            # A relay passes on the newest row only, the store each change.
+            lambda after, era: store.wait_for_changes(
+                routing_state.operator_feed.table, after, 0.0, era
+            ),
         )
         relay.register(cluster_rows.feed)
         _connect_relay(relay, settings.node, peer_network)
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightrecords_steps.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/steps/weightrecords_steps.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.clusterrows import ClusterRows
 from apricotlift.forwarding.feeds import RowSet
@@ -12,6 +13,7 @@
     Clock,
     FollowedTable,
     build_dialect,
+    build_row,
     build_rows,
 )
 from apricotlift.forwarding.weightrecords import PREFIX, WeightRecords
@@ -44,6 +46,7 @@
             self.state,
             lambda: list(self.world.nodes),
             Metrics(),
+            self.world.read_history,
             clock,
         )
 
@@ -52,11 +55,14 @@
         self.state.servers_feed.is_loaded = True
         if reads_records:
             self.read_whole_table()
+            self.rows.feed.version = len(self.world.changes)
             self.rows.feed.is_loaded = True
+            anyio.run(self.records.catch_up)
 
     def read_operator(self, is_full_table=False):
         feed = self.state.operator_feed
         feed._note_certain(self.world.clock())
+        feed.version = len(self.world.changes)
         row = {"model": MODEL, "version": self.world.row_version}
         rows = build_rows(
             ("weights/m", row), ("config", {"version": 1, "routes": []}), version=1
@@ -93,6 +99,24 @@
     table: FollowedTable = field(default_factory=FollowedTable)
     nodes: dict[str, RecordingNode] = field(default_factory=dict)
     row_version: int = 1
+    changes: list[int] = field(default_factory=list)
+    history: str = "kept"
+
+    def __post_init__(self):
+        self.changes.append(self.row_version)
+
+    async def read_history(self, after, era):
+        """Return the changes of the operator's row after a position."""
+        n_kept = {"discarded": 0, "short": 5}.get(self.history, len(self.changes))
+        if len(self.changes) - after > n_kept:
+            raise ApricotliftError(Code.HISTORY_LOST, "discarded")
+        if self.history == "unanswered":
+            await anyio.sleep_forever()
+        rows = [
+            build_row("weights/m", {"model": MODEL, "version": version})
+            for version in self.changes[after:]
+        ]
+        return RowSet(tuple(rows), len(self.changes), era=era)
 
     def start(self, name, reads_records=True):
         self.nodes[name] = RecordingNode(name, self)
@@ -101,6 +125,7 @@
     def name_version(self, version):
         self.clock.now += 1.0
         self.row_version = version
+        self.changes.append(version)
 
     def let_record(self):
         """Have each node in turn write what isn't recorded yet."""
@@ -152,6 +177,24 @@
     context.world.start(started)
 
 
+@when(
+    "all nodes are killed, the operator names version {version:d}, and its row shows "
+    "version {older:d} again"
+)
+def step_named_unseen(context, version, older):
+    context.world.nodes.clear()
+    # Other rows have changed since the record was written.
+    context.world.changes += [1] * 30
+    context.world.name_version(version)
+    context.world.name_version(older)
+
+
+@when('the store\'s history is {state}, and "{name}" starts')
+def step_start_with_history(context, state, name):
+    context.world.history = state
+    context.world.start(name)
+
+
 @when('"{name}" starts without access to the nodes\' own table')
 def step_start_without_table(context, name):
     context.world.start(name, reads_records=False)
@@ -250,6 +293,7 @@
             for node in world.nodes.values():
                 tasks.start_soon(node.records.run)
             world.row_version = version
+            world.changes.append(version)
             world.read_operator()
             with anyio.move_on_after(_SOON_S):
                 while version not in world.list_versions():
@@ -297,6 +341,11 @@
     assert not context.world.nodes[name].state.is_ready
 
 
+@then('"{name}" is ready')
+def step_ready(context, name):
+    assert context.world.nodes[name].state.is_ready
+
+
 @then('the table has the records "{versions}"')
 @then('the table soon has the records "{versions}"')
 def step_records(context, versions):
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightrecords.feature
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/tests/weightrecords.feature
@@ -19,6 +19,23 @@
     And "n3" starts without access to the nodes' own table
     Then "n3" isn't ready
 
+  # Guards against a version that no node could record, because it was named, and its row
+  # overwritten, while none ran.
+  Scenario Outline: A node that starts reads what the operator named after the records
+    When the operator names version 3
+    And all nodes are killed, the operator names version 5, and its row shows version 2 again
+    And the store's history is <history>, and "n3" starts
+    Then "n3" takes version <newest> for the newest
+    And "n3" uses no older version
+    And "n3" is ready
+
+    Examples:
+      | history    | newest |
+      | kept       | 5      |
+      | short      | 5      |
+      | discarded  | 3      |
+      | unanswered | 3      |
+
   # Guards against a node that was cut off while a version was named and overwritten.
   Scenario: A node that missed a version learns of it from the others
     When the operator names version 3, and its row shows version 2 before "n2" reads it
--- a/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrecords.py
+++ b/packages/apricotlift-forwarding/src/apricotlift/forwarding/weightrecords.py
@@ -9,16 +9,20 @@
 Each version has a row of its own, and the highest counts. Rows need no condition: a
 write that is carried out late adds an older row and takes nothing back. A row that a
 restored store lacks is written again.
+
+A version may be named, and its row overwritten, while no node runs. So a node that
+starts also reads the changes of the operator's rows that the store still has. A record
+states up to which of them its writer had read, so that later ones are enough.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Annotated
 
 import anyio
 from anyio.abc import TaskGroup
 from apricotlift.core import clocks, logs
-from apricotlift.core.errors import ApricotliftError
+from apricotlift.core.errors import ApricotliftError, Code
 from apricotlift.core.hashing import digest, rank_nodes
 from apricotlift.core.metrics import Metrics
 from apricotlift.forwarding.clusterrows import (
@@ -28,6 +32,7 @@
     read_content,
 )
 from apricotlift.forwarding.feeds import POLL_S, RowSet, StoredRow, apply_rows
+from apricotlift.forwarding.overlappedcalls import call_until_answered
 from apricotlift.forwarding.routingstate import RoutingState
 from apricotlift.platform.table import Delete, Put
 from pydantic import BaseModel, ConfigDict, Field
@@ -41,6 +46,15 @@
 _IDLE_INTERVAL_S = 1.0
 _CONFIRM_INTERVAL_S = 0.1
 _VERSION_MAX = 2**63 - 1
+
+#: A node that starts waits for the records, and then asks for later changes for so long
+#: and in calls so far apart.
+_LOAD_CHECK_INTERVAL_S = 0.02
+_CATCH_UP_MAX_S = 3.0
+_CATCH_UP_INTERVAL_S = 0.4
+_CATCH_UP_PAUSE_S = 0.1
+#: How far back changes are asked for, in versions of the store.
+_HISTORY_STEPS = (16_384, 4_096, 1_024, 256, 64, 16, 4)
 _N_WRITES_MAX = 4
 _N_DELETES_MAX = 50
 
@@ -50,12 +64,19 @@
 
 
 class WeightRecord(BaseModel):
-    """A weight version that the operator has named."""
+    """A weight version that the operator has named.
+
+    :param position: version of the store up to which the writer had read the operator's
+        rows; 0 where it isn't known.
+    :param era: era of the store that ``position`` belongs to.
+    """
 
     model_config = ConfigDict(strict=True, extra="ignore")
 
     model: str
     version: Annotated[int, Field(ge=1, le=_VERSION_MAX)]
+    position: Annotated[int, Field(ge=0, le=_VERSION_MAX)] = 0
+    era: Annotated[int, Field(ge=0, le=_VERSION_MAX)] = 0
 
 
 @dataclass(frozen=True)
@@ -65,10 +86,19 @@
     :param noticed_at: when this node read or wrote it.
     """
 
-    model: str
-    version: int
+    record: WeightRecord
     noticed_at: float
 
+    @property
+    def model(self) -> str:
+        """Model whose weights were named."""
+        return self.record.model
+
+    @property
+    def version(self) -> int:
+        """The named version."""
+        return self.record.version
+
 
 def build_key(model: str, version: int) -> str:
     """Return the key of a record; models may have names that no key can hold."""
@@ -83,6 +113,8 @@
     :param table: writes rows of the nodes' own table.
     :param rows: the followed table.
     :param list_live_nodes: returns the names of the live nodes, this one included.
+    :param read_history: returns the changes of the operator's rows after a version of
+        the store; its second argument is the version's era.
     """
 
     own_name: str
@@ -91,7 +123,9 @@
     routing_state: RoutingState
     list_live_nodes: Callable[[], list[str]]
     metrics: Metrics
+    read_history: Callable[[int, int], Awaitable[RowSet]]
     clock: Callable[[], float] = clocks.monotonic
+    _has_caught_up: bool = False
     _records: dict[str, _KnownRecord] = field(default_factory=dict)
     _due_at: dict[tuple[str, int], float] = field(default_factory=dict)
     _writing: set[tuple[str, int]] = field(default_factory=set)
@@ -99,11 +133,14 @@
 
     def __post_init__(self):
         self.rows.register(PREFIX, self.apply)
-        self.routing_state.has_recorded_weights = lambda: self.rows.feed.is_loaded
+        self.routing_state.has_recorded_weights = lambda: self._has_caught_up
         self.routing_state.watch_weights = self._wake
 
     async def run(self) -> None:
         """Record named versions and take over recorded ones, until cancelled."""
+        while not self.rows.feed.is_loaded:
+            await anyio.sleep(_LOAD_CHECK_INTERVAL_S)
+        await self.catch_up()
         async with anyio.create_task_group() as tasks:
             while True:
                 self._changed = anyio.Event()
@@ -114,6 +151,68 @@
                 with anyio.move_on_after(wait_s):
                     await self._changed.wait()
 
+    async def catch_up(self) -> None:
+        """Apply the versions that the operator's row showed before.
+
+        Without an answer, the records alone have to do.
+        """
+        era = self.rows.feed.era
+        outcome = ""
+        for position in self._list_positions(era):
+            outcome = await self._apply_history(position, era)
+            if outcome != Code.HISTORY_LOST:
+                break
+        self._has_caught_up = True
+        logs.log(logs.INFO, "weights_caught_up", outcome=outcome, era=era)
+
+    def _list_positions(self, era: int) -> list[int]:
+        """Return the positions to read changes from, in the order of preference.
+
+        The position of the newest record comes first, since no more is needed. It may
+        be older than the history, and nothing tells how far that goes back, so later
+        positions follow in steps.
+        """
+        version = self.rows.feed.version
+        recorded = [
+            known.record.position
+            for known in self._records.values()
+            if known.record.era == era and 0 < known.record.position <= version
+        ]
+        stepped = [max(0, version - step) for step in _HISTORY_STEPS]
+        newest = max(recorded, default=0)
+        later = [position for position in stepped if position > newest]
+        return [newest, *dict.fromkeys(later)]
+
+    async def _apply_history(self, position: int, era: int) -> str:
+        """Apply the versions named after a position, and return how it ended."""
+        try:
+            with anyio.move_on_after(_CATCH_UP_MAX_S):
+                answer = await call_until_answered(
+                    lambda _: self.read_history(position, era),
+                    lambda _: _CATCH_UP_INTERVAL_S,
+                    lambda _: _CATCH_UP_PAUSE_S,
+                    lambda error: error.code is not Code.HISTORY_LOST,
+                    self._note_history_error,
+                    self.clock,
+                )
+                rows = answer.result
+                if rows.era != era:
+                    return "restored"
+                apply_rows("operator", rows.rows, self._apply_change, self.metrics)
+                return "read"
+        except ApricotliftError as error:
+            return str(error.code)
+        return "timeout"
+
+    def _note_history_error(self, error: ApricotliftError, asked_at: float) -> None:
+        self.metrics.count("weight_history_failures_total", reason=error.code)
+
+    def _apply_change(self, row: StoredRow) -> None:
+        instruction = self.routing_state.dialect.decode_instruction(row.key, row.value)
+        if instruction is not None and instruction.weights is not None:
+            named = instruction.weights
+            self.routing_state.apply_recorded_weights(named.model, named.version)
+
     def apply(self, rows: RowSet, is_full_table: bool) -> None:
         """Apply records that were read from the table."""
         if is_full_table:
@@ -171,7 +270,11 @@
             for known_key, record in self._records.items()
             if record.model == model and record.version < version
         ]
-        writes: list = [Put(build_row(key, WeightRecord(model=model, version=version)))]
+        feed = self.routing_state.operator_feed
+        record = WeightRecord(
+            model=model, version=version, position=feed.version, era=feed.era
+        )
+        writes: list = [Put(build_row(key, record))]
         writes += [Delete(PARTITION, old_key) for old_key in older[:_N_DELETES_MAX]]
         try:
             await self.table.transact(writes)
@@ -186,7 +289,7 @@
                 reason=error.message,
             )
             return False
-        self._records.setdefault(key, _KnownRecord(model, version, self.clock()))
+        self._records.setdefault(key, _KnownRecord(record, self.clock()))
         self.metrics.count("weight_records_written_total")
         logs.log(logs.INFO, "weights_recorded", model=model, version=version)
         return True
@@ -205,9 +308,7 @@
             raise
         known = self._records.get(row.key)
         if known is None:
-            self._records[row.key] = _KnownRecord(
-                record.model, record.version, self.clock()
-            )
+            self._records[row.key] = _KnownRecord(record, self.clock())
 
     def _list_newest(self) -> list[_KnownRecord]:
         newest: dict[str, _KnownRecord] = {}
